--- /dev/null
+++ b/crates/spurpier-core/src/lead/choice.rs
@@ -0,0 +1,92 @@
+//! Which server runs a read.
+
+use std::time::Duration;
+
+use crate::position::Position;
+use crate::time::Timestamp;
+
+/// How far a server is from a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Distance {
+    /// In the node's own zone.
+    Zone,
+    /// In another zone of the node's region.
+    Region,
+    /// In another region.
+    Remote,
+}
+
+impl Distance {
+    /// How much longer an answer may take nearby before a server at this distance is preferred.
+    ///
+    /// It stands for the price of the bytes on the way, beside the way's own delay, which the
+    /// measured answers hold already.
+    const fn penalty(self) -> Duration {
+        match self {
+            Distance::Zone => Duration::ZERO,
+            Distance::Region => Duration::from_millis(20),
+            Distance::Remote => Duration::from_millis(80),
+        }
+    }
+}
+
+/// What is known of one server when a read is placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// How far it is.
+    pub distance: Distance,
+    /// The smoothed time of its answers.
+    pub answer_time: Duration,
+    /// Requests of this node that run on it or wait for a connection.
+    pub in_flight: usize,
+    /// Requests that it runs at the same time.
+    pub slots: usize,
+    /// The newest position that it was seen to show, and when.
+    pub shown: Option<(Position, Timestamp)>,
+    /// Until when it is passed over, after it was found full or silent.
+    pub avoided_until: Timestamp,
+    /// Whether it may take reads at all.
+    pub takes_reads: bool,
+    /// Whether it is taken to lead the group.
+    pub leads: bool,
+}
+
+/// How long a position stays a sign that a replica is behind.
+const SHOWN_VALIDITY: Duration = Duration::from_millis(60);
+/// What is added for a server that was just found behind, so that it is tried last.
+const BEHIND_PENALTY: Duration = Duration::from_millis(400);
+
+impl ServerLoad {
+    fn is_behind(&self, floor: Position, now: Timestamp) -> bool {
+        !self.leads
+            && self
+                .shown
+                .is_some_and(|(shown, at)| shown < floor && now.since(at) < SHOWN_VALIDITY)
+    }
+
+    fn cost(&self, floor: Position, now: Timestamp) -> Duration {
+        let waiting = u32::try_from(self.in_flight / self.slots.max(1)).unwrap_or(u32::MAX);
+        let wait = self.answer_time.saturating_mul(waiting);
+        let mut cost = self.answer_time + wait + self.distance.penalty();
+        if self.is_behind(floor, now) {
+            cost += BEHIND_PENALTY;
+        }
+        cost
+    }
+}
+
+/// The index of the server that a read at `floor` goes to; none if no server may take it.
+///
+/// Servers that are to be avoided are taken only when there is no other.
+pub fn choose_read_server(
+    loads: &[ServerLoad],
+    excluded: &[usize],
+    floor: Position,
+    now: Timestamp,
+) -> Option<usize> {
+    let candidates = loads.iter().enumerate();
+    candidates
+        .filter(|(index, load)| load.takes_reads && !excluded.contains(index))
+        .min_by_key(|(_, load)| (load.avoided_until > now, load.cost(floor, now)))
+        .map(|(index, _)| index)
+}
--- /dev/null
+++ b/crates/spurpier-core/src/lead/mod.rs
@@ -0,0 +1,12 @@
+//! Groups that are promoted from outside: who leads, how fresh a read is, and which server runs it.
+//!
+//! Such a group holds no elections, and a deposed primary goes on answering reads. Neither leases
+//! nor wall clocks are used against that. A server refuses a transaction that may write from the
+//! moment at which it lost the lead, so that each accepted one proves the lead at a moment no
+//! earlier than the sending of its opening statement.
+
+mod choice;
+mod evidence;
+
+pub use choice::{Distance, ServerLoad, choose_read_server};
+pub use evidence::{LeadEvidence, OwnCommit, Proof, read_floor};
--- a/crates/spurpier-core/src/lib.rs
+++ b/crates/spurpier-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod handover;
 pub mod homes;
 pub mod identity;
+pub mod lead;
 pub mod membership;
 pub mod policy;
 pub mod pool;
--- /dev/null
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -0,0 +1,87 @@
+//! What all sessions and tasks of a node share.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::AtomicUsize;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use spurpier_core::lead::Distance;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Clock;
+use crate::configuration::InForce;
+use crate::group::Group;
+use crate::ports::{ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect};
+use crate::settings::PipelineSettings;
+
+/// What all sessions and tasks of a node share.
+pub struct Context {
+    /// The node's settings.
+    pub settings: PipelineSettings,
+    /// The steady clock.
+    pub clock: Clock,
+    /// What clients speak.
+    pub client_dialect: Arc<dyn ClientDialect>,
+    /// What servers speak.
+    pub server_dialect: Arc<dyn ServerDialect>,
+    /// The platform's store.
+    pub store: Arc<dyn MetadataStore>,
+    /// Reads the store's rows.
+    pub entries: Arc<dyn EntryFormat>,
+    /// Names the server that takes over.
+    pub promotions: Arc<dyn PromotionService>,
+    /// The configuration in force; none before the first is known.
+    pub configuration: watch::Sender<Option<Arc<InForce>>>,
+    /// All groups by name.
+    pub groups: Mutex<BTreeMap<String, Arc<Group>>>,
+    /// How many nodes share the servers' connections.
+    pub nodes: AtomicUsize,
+    /// The other nodes' internal addresses by name.
+    pub peers: Mutex<HashMap<String, std::net::SocketAddr>>,
+    /// Whether the servers have been read once.
+    pub directory_known: watch::Sender<bool>,
+    /// Cancelled when the drain begins.
+    pub draining: CancellationToken,
+}
+
+impl Context {
+    /// The group of this name, made if it is new.
+    pub fn group(&self, name: &str) -> Arc<Group> {
+        let mut groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(group) = groups.get(name) {
+            return Arc::clone(group);
+        }
+        let group = Arc::new(Group::new(name));
+        groups.insert(name.to_owned(), Arc::clone(&group));
+        group
+    }
+
+    /// All groups.
+    pub fn all_groups(&self) -> Vec<Arc<Group>> {
+        let groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
+        groups.values().map(Arc::clone).collect()
+    }
+
+    /// The configuration in force.
+    pub fn in_force(&self) -> Option<Arc<InForce>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// How far a zone is.
+    pub fn distance(&self, zone: &str) -> Distance {
+        let node = &self.settings.node;
+        if zone == node.zone {
+            return Distance::Zone;
+        }
+        match self.settings.zones.get(zone) {
+            Some(region) if *region == node.region => Distance::Region,
+            _ => Distance::Remote,
+        }
+    }
+
+    /// For how long a leaving server may still be given work as its group's lead.
+    pub fn leaving_use(&self) -> Duration {
+        Duration::from_millis(self.settings.bounds.server_drain_ms) * 3 / 4
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/directory.rs
@@ -0,0 +1,214 @@
+//! The servers and the configuration as the store lists them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use spurpier_events::log_event;
+
+use crate::configuration::put_into_force;
+use crate::context::Context;
+use crate::events;
+use crate::follow::RowSink;
+use crate::group::Group;
+use crate::ports::{Row, ServerEntry};
+use crate::server::{Listing, Pool, Server, Target};
+
+/// Connections that a server is taken to allow before the configuration is known.
+const UNKNOWN_LIMIT: usize = 8;
+
+/// Puts each newer configuration into force.
+pub struct ConfigurationSink(pub Arc<Context>);
+
+impl ConfigurationSink {
+    fn take(&self, row: &Row) {
+        match self.0.entries.configuration(row) {
+            Some(configuration) => {
+                put_into_force(&self.0, configuration);
+                share_connections(&self.0);
+            }
+            None => log_event!(
+                events::ROW_MALFORMED,
+                table = "configuration",
+                key = row.key
+            ),
+        }
+    }
+}
+
+impl RowSink for ConfigurationSink {
+    fn replace(&mut self, rows: &[Row], _version: u64) {
+        for row in rows {
+            self.take(row);
+        }
+    }
+
+    fn change(&mut self, row: &Row) {
+        if !row.gone {
+            self.take(row);
+        }
+    }
+}
+
+/// Keeps the groups' servers as the store lists them.
+pub struct ServerSink {
+    context: Arc<Context>,
+    /// The group of each listed server.
+    groups: BTreeMap<String, String>,
+}
+
+impl ServerSink {
+    /// A sink that knows no server yet.
+    pub fn new(context: Arc<Context>) -> Self {
+        ServerSink {
+            context,
+            groups: BTreeMap::new(),
+        }
+    }
+
+    fn take(&mut self, row: &Row) {
+        let Some(entry) = self.context.entries.server(row) else {
+            log_event!(events::ROW_MALFORMED, table = "servers", key = row.key);
+            return;
+        };
+        self.groups.insert(row.key.clone(), entry.group.clone());
+        let group = self.context.group(&entry.group);
+        match group.server(&entry.instance) {
+            Some(server) => self.update(&group, &server, entry, row.version),
+            None => self.add(&group, entry, row.version),
+        }
+    }
+
+    fn add(&self, group: &Group, entry: ServerEntry, version: u64) {
+        let context = &self.context;
+        log_event!(
+            events::SERVER_ADDED,
+            group = group.name,
+            server = entry.instance,
+            address = entry.address,
+            zone = entry.zone,
+            role = format!("{:?}", entry.role)
+        );
+        let target = Target {
+            address: entry.address,
+            group: entry.group.clone(),
+            instance: entry.instance.clone(),
+        };
+        let dialect = Arc::clone(&context.server_dialect);
+        let limit = connection_share(context, &group.name);
+        let pool = Pool::new(target, dialect, context.clock.clone(), limit);
+        let distance = context.distance(&entry.zone);
+        let leaving_since = entry.draining.then(|| context.clock.now());
+        let listing = Listing {
+            entry,
+            version,
+            leaving_since,
+            gone: false,
+        };
+        group.add(Arc::new(Server::new(listing, distance, pool)));
+    }
+
+    fn update(&self, group: &Group, server: &Server, entry: ServerEntry, version: u64) {
+        let (draining, role) = (entry.draining, entry.role);
+        let begins_to_leave = {
+            let mut listing = server.listing();
+            if version < listing.version {
+                return;
+            }
+            listing.entry = entry;
+            listing.version = version;
+            listing.gone = false;
+            let was_leaving = listing.leaving_since.is_some();
+            if !draining {
+                listing.leaving_since = None;
+            } else if !was_leaving {
+                listing.leaving_since = Some(self.context.clock.now());
+            }
+            draining && !was_leaving
+        };
+        if begins_to_leave {
+            log_leaving(group, server, "draining");
+        }
+        group.note_entry(&server.instance, role);
+    }
+
+    fn drop_entry(&mut self, instance: &str) {
+        let Some(group) = self.groups.remove(instance) else {
+            return;
+        };
+        let group = self.context.group(&group);
+        let Some(server) = group.server(instance) else {
+            return;
+        };
+        {
+            let mut listing = server.listing();
+            listing.gone = true;
+            let now = self.context.clock.now();
+            listing.leaving_since.get_or_insert(now);
+        }
+        log_leaving(&group, &server, "gone");
+        let still_leads = group
+            .lead()
+            .is_some_and(|lead| lead.instance == server.instance);
+        if !still_leads {
+            group.remove(instance);
+        }
+    }
+}
+
+impl RowSink for ServerSink {
+    fn replace(&mut self, rows: &[Row], _version: u64) {
+        let listed: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+        let missing = self
+            .groups
+            .keys()
+            .filter(|key| !listed.contains(key.as_str()));
+        let missing: Vec<String> = missing.cloned().collect();
+        for instance in missing {
+            self.drop_entry(&instance);
+        }
+        for row in rows {
+            self.take(row);
+        }
+        self.context.directory_known.send_replace(true);
+    }
+
+    fn change(&mut self, row: &Row) {
+        if row.gone {
+            self.drop_entry(&row.key);
+        } else {
+            self.take(row);
+        }
+    }
+}
+
+fn log_leaving(group: &Group, server: &Server, why: &str) {
+    log_event!(
+        events::SERVER_LEAVING,
+        group = group.name,
+        server = server.instance,
+        why = why
+    );
+}
+
+/// This node's share of the connections to each server of a group.
+///
+/// One in ten is left for nodes that come before all others have taken in the new count.
+fn connection_share(context: &Context, group: &str) -> usize {
+    let known = context
+        .in_force()
+        .and_then(|known| known.connections(group));
+    let all = known.unwrap_or(UNKNOWN_LIMIT);
+    let nodes = context.nodes.load(Ordering::Relaxed).max(1);
+    (all * 9 / 10 / nodes).max(1)
+}
+
+/// Gives each pool this node's share anew.
+pub fn share_connections(context: &Context) {
+    for group in context.all_groups() {
+        let share = connection_share(context, &group.name);
+        for server in group.servers() {
+            server.pool.set_limit(share);
+        }
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/events.rs
@@ -0,0 +1,28 @@
+//! Events of the pipeline over ports: numbers 6000 to 6999.
+
+spurpier_events::declare_events! {
+    NODE_STARTED = 6001, "pipeline_started", Info, "the node has started before groups that are promoted from outside", "none";
+    NODE_READY = 6002, "pipeline_ready", Info, "the node knows the configuration and the servers and takes clients", "none";
+    NODE_DRAINING = 6003, "pipeline_draining", Info, "the node is no longer ready and lets its sessions end", "none";
+    NODE_DRAINED = 6004, "pipeline_drained", Info, "the node has ended", "none; sessions that were cut had a transaction open past their share of the drain";
+    SETTINGS_REREAD = 6005, "pipeline_settings_reread", Info, "the settings file was read again", "none";
+    SETTINGS_REFUSED = 6006, "pipeline_settings_refused", Warn, "the settings file was read again and is not valid; the former settings hold", "check the file with `spurpier settings check`";
+    CONFIGURATION_IN_FORCE = 6010, "configuration_in_force", Info, "a newer configuration is in force", "none";
+    ROW_MALFORMED = 6011, "row_malformed", Warn, "a row of the store cannot be read and is passed over", "see what wrote the row";
+    STORE_LOST = 6012, "store_lost", Warn, "the store does not answer; the node goes on with what it knows", "see the platform's store";
+    STORE_REGAINED = 6013, "store_regained", Info, "the store answers again", "none";
+    SERVER_ADDED = 6020, "server_added", Info, "the directory lists a new server", "none";
+    SERVER_LEAVING = 6021, "server_leaving", Info, "a server is draining or gone from the directory and is given no new work", "none if planned";
+    LEAD_FOUND = 6022, "lead_found", Info, "a server has proved that it leads its group", "none";
+    LEAD_LOST = 6023, "lead_lost", Warn, "the server that led a group refuses the lead", "none if planned";
+    SERVER_SILENT = 6024, "server_silent", Warn, "a server does not answer", "see the server and the way to it";
+    REQUEST_NOT_RUN = 6030, "request_not_run", Info, "a statement was refused and has not run", "none if rare; the reason tells what was missing";
+    REQUEST_UNKNOWN = 6031, "request_unknown", Warn, "whether a statement ran cannot be told", "look for the lost server or the lost answer at that time";
+    REQUEST_RETRIED = 6032, "request_retried", Info, "a statement is tried again", "none if rare";
+    CLIENT_VIOLATION = 6033, "pipeline_client_violation", Warn, "a client sent bytes that violate the protocol and was closed", "find out what connects from there";
+    DUTY_TAKEN = 6040, "duty_taken", Info, "this node holds the promotion duty under a new token", "none";
+    DUTY_REFUSED = 6041, "duty_refused", Info, "another node holds the promotion duty or was faster", "none";
+    PROMOTION_SENT = 6042, "promotion_sent", Warn, "a server is told to take over its group", "see why the former primary was lost, unless it was leaving";
+    PROMOTION_ANSWERED = 6043, "promotion_answered", Info, "the promotion service has answered", "none";
+    PRIMARY_SUSPECTED = 6044, "primary_suspected", Warn, "the primary of a group does not answer this node", "see the server and the way to it";
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/follow.rs
@@ -0,0 +1,130 @@
+//! Following one table of the store: a whole read, then its changes, for ever.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use spurpier_core::retry::Backoff;
+use spurpier_events::log_event;
+use tokio::time::timeout;
+
+use crate::context::Context;
+use crate::events;
+use crate::ports::{ReadRows, Row, StoreError, Table};
+
+/// How long a whole read may take.
+const READ_LIMIT: Duration = Duration::from_millis(1_500);
+/// How long one wait for changes lasts at most.
+const CHANGES_WAIT: Duration = Duration::from_secs(20);
+/// How much longer than its wait a call for changes may take.
+const CHANGES_SLACK: Duration = Duration::from_millis(1_500);
+/// The pauses after failed calls.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// What is done with the rows of a table.
+pub trait RowSink: Send {
+    /// Takes in all rows; those that are not among them are gone.
+    fn replace(&mut self, rows: &[Row], version: u64);
+
+    /// Takes in one row that has changed or is gone.
+    fn change(&mut self, row: &Row);
+}
+
+/// Follows a table; never returns.
+pub async fn follow(context: Arc<Context>, table: Table, mut sink: impl RowSink) {
+    let mut follower = Follower::new(context, table);
+    let mut known = None;
+    loop {
+        let version = match known {
+            Some(version) => version,
+            None => {
+                let read = follower.read().await;
+                sink.replace(&read.rows, read.version);
+                read.version
+            }
+        };
+        known = follower.next_changes(version, &mut sink).await;
+    }
+}
+
+struct Follower {
+    context: Arc<Context>,
+    table: Table,
+    backoff: Backoff,
+    lost: bool,
+}
+
+impl Follower {
+    fn new(context: Arc<Context>, table: Table) -> Self {
+        Follower {
+            context,
+            table,
+            backoff: Backoff::new(FIRST_PAUSE, LONGEST_PAUSE),
+            lost: false,
+        }
+    }
+
+    /// Reads the whole table, as often as it takes.
+    async fn read(&mut self) -> ReadRows {
+        loop {
+            let call = self.context.store.read(self.table);
+            match timeout(READ_LIMIT, call).await {
+                Ok(Ok(read)) => {
+                    self.note_answer();
+                    return read;
+                }
+                Ok(Err(error)) => self.note_failure(error).await,
+                Err(_) => self.note_failure(StoreError::Unknown).await,
+            }
+        }
+    }
+
+    /// Waits for changes after a version and takes them in; none if all must be read anew.
+    async fn next_changes(&mut self, version: u64, sink: &mut impl RowSink) -> Option<u64> {
+        // A store that was just lost is asked with a short wait, so that its return is seen.
+        let wait = if self.lost {
+            Duration::ZERO
+        } else {
+            CHANGES_WAIT
+        };
+        let call = self.context.store.changes(self.table, version, wait);
+        match timeout(wait + CHANGES_SLACK, call).await {
+            Ok(Ok(changes)) => {
+                self.note_answer();
+                for row in &changes.rows {
+                    sink.change(row);
+                }
+                Some(changes.version.max(version))
+            }
+            Ok(Err(StoreError::HistoryGone)) => None,
+            Ok(Err(error)) => {
+                self.note_failure(error).await;
+                Some(version)
+            }
+            Err(_) => {
+                self.note_failure(StoreError::Unknown).await;
+                Some(version)
+            }
+        }
+    }
+
+    fn note_answer(&mut self) {
+        self.backoff.reset();
+        if std::mem::take(&mut self.lost) {
+            log_event!(events::STORE_REGAINED, table = format!("{:?}", self.table));
+        }
+    }
+
+    async fn note_failure(&mut self, error: StoreError) {
+        if !std::mem::replace(&mut self.lost, true) {
+            log_event!(
+                events::STORE_LOST,
+                table = format!("{:?}", self.table),
+                error = error
+            );
+        }
+        let pause = self.backoff.next_pause(rand::rng().random());
+        tokio::time::sleep(pause).await;
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/group.rs
@@ -0,0 +1,228 @@
+//! A group: its servers, which of them leads, and what is known of its log.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use spurpier_core::lead::{LeadEvidence, OwnCommit, Proof, read_floor};
+use spurpier_core::position::Position;
+use spurpier_core::time::Timestamp;
+use tokio::sync::watch;
+
+use crate::events;
+use crate::ports::ServerRole;
+use crate::server::Server;
+use spurpier_events::log_event;
+
+/// For how long a server that refused the lead is not asked again, unless its entry changes.
+const DENIAL: Duration = Duration::from_millis(150);
+
+#[derive(Debug, Default)]
+struct GroupInner {
+    servers: BTreeMap<String, Arc<Server>>,
+    lead: Option<String>,
+    denied: HashMap<String, Timestamp>,
+    evidence: LeadEvidence,
+    proving: bool,
+    synchronous_replicas: usize,
+}
+
+/// One group as this node knows it.
+#[derive(Debug)]
+pub struct Group {
+    /// Its name.
+    pub name: String,
+    inner: Mutex<GroupInner>,
+    changed: watch::Sender<u64>,
+}
+
+impl Group {
+    /// A group without servers.
+    pub fn new(name: &str) -> Self {
+        Group {
+            name: name.to_owned(),
+            inner: Mutex::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    /// A receiver that is told of changes.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    fn notify(&self) {
+        self.changed.send_modify(|version| *version += 1);
+    }
+
+    /// All servers, also those that are leaving, in the order of their names.
+    pub fn servers(&self) -> Vec<Arc<Server>> {
+        self.lock().servers.values().map(Arc::clone).collect()
+    }
+
+    /// The server of this name.
+    pub fn server(&self, instance: &str) -> Option<Arc<Server>> {
+        self.lock().servers.get(instance).map(Arc::clone)
+    }
+
+    /// Adds a server.
+    pub fn add(&self, server: Arc<Server>) {
+        let instance = server.instance.clone();
+        self.lock().servers.insert(instance, server);
+        self.notify();
+    }
+
+    /// Forgets a server.
+    pub fn remove(&self, instance: &str) {
+        let removed = self.lock().servers.remove(instance);
+        if let Some(server) = removed {
+            server.pool.close_idle();
+        }
+        self.notify();
+    }
+
+    /// Takes in that a server's entry changed: it may be asked for the lead again.
+    pub fn note_entry(&self, instance: &str, role: ServerRole) {
+        {
+            let mut inner = self.lock();
+            inner.denied.remove(instance);
+            let led = inner.lead.as_deref() == Some(instance);
+            if led && role == ServerRole::Replica {
+                inner.lead = None;
+            }
+        }
+        self.notify();
+    }
+
+    /// The replicas that must have received a commit before it is acknowledged.
+    pub fn synchronous_replicas(&self) -> usize {
+        self.lock().synchronous_replicas
+    }
+
+    /// Takes in how many replicas must have received a commit.
+    pub fn set_synchronous_replicas(&self, count: usize) {
+        self.lock().synchronous_replicas = count;
+    }
+
+    /// The server that proved the lead last, unless it has lost it since.
+    pub fn lead(&self) -> Option<Arc<Server>> {
+        let inner = self.lock();
+        inner.servers.get(inner.lead.as_ref()?).map(Arc::clone)
+    }
+
+    /// The server to ask for the lead next; none while all have just refused.
+    ///
+    /// The last one that proved the lead goes first, then those that say that they lead, the
+    /// newest entry first, and then the others: an entry may be old while the store is down.
+    /// A server that leaves may lead for `leaving_use` at most.
+    pub fn lead_candidate(&self, now: Timestamp, leaving_use: Duration) -> Option<Arc<Server>> {
+        let inner = self.lock();
+        let may_lead = |server: &&Arc<Server>| {
+            let denied = inner.denied.get(&server.instance);
+            let is_denied = denied.is_some_and(|until| *until > now);
+            let leaving_for = server.leaving_for(now).unwrap_or_default();
+            !is_denied && leaving_for < leaving_use
+        };
+        let known = inner.lead.as_ref().and_then(|lead| inner.servers.get(lead));
+        let known = known.filter(may_lead);
+        known
+            .or_else(|| {
+                let candidates = inner.servers.values().filter(may_lead);
+                candidates.max_by_key(|server| candidate_rank(server, now))
+            })
+            .map(Arc::clone)
+    }
+
+    /// Takes in that a server accepted a message which only the lead accepts.
+    pub fn note_proof(&self, server: &Server, sent_at: Timestamp, position: Option<Position>) {
+        let position = position.unwrap_or(Position::ZERO);
+        let is_new = {
+            let mut inner = self.lock();
+            inner.evidence.record(Proof { sent_at, position });
+            inner.denied.remove(&server.instance);
+            let is_new = inner.lead.as_deref() != Some(server.instance.as_str());
+            if is_new {
+                inner.lead = Some(server.instance.clone());
+            }
+            is_new
+        };
+        if is_new {
+            log_event!(
+                events::LEAD_FOUND,
+                group = self.name,
+                server = server.instance,
+                position = position
+            );
+        }
+        self.notify();
+    }
+
+    /// Takes in that a server refused as one that does not lead.
+    pub fn note_denial(&self, server: &Server, now: Timestamp) {
+        let lost = {
+            let mut inner = self.lock();
+            inner.denied.insert(server.instance.clone(), now + DENIAL);
+            let lost = inner.lead.as_deref() == Some(server.instance.as_str());
+            if lost {
+                inner.lead = None;
+            }
+            lost
+        };
+        if lost {
+            log_event!(
+                events::LEAD_LOST,
+                group = self.name,
+                server = server.instance
+            );
+        }
+    }
+
+    /// The position that a read must find; none while no proof is new enough.
+    pub fn read_floor(&self, since: Timestamp, own: Option<OwnCommit>) -> Option<Position> {
+        read_floor(&self.lock().evidence, since, own)
+    }
+
+    /// When the message of the newest proof left.
+    pub fn proven_at(&self) -> Option<Timestamp> {
+        self.lock().evidence.newest().map(|proof| proof.sent_at)
+    }
+
+    /// Whether a unit asks for a proof.
+    pub fn is_proving(&self) -> bool {
+        self.lock().proving
+    }
+
+    /// Takes the turn to ask for a proof; none while another unit asks.
+    pub fn start_proving(&self) -> Option<Proving<'_>> {
+        let mut inner = self.lock();
+        if inner.proving {
+            return None;
+        }
+        inner.proving = true;
+        Some(Proving(self))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GroupInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// How likely a server leads: whether it says so, whether it answers, and how new its entry is.
+fn candidate_rank(server: &Server, now: Timestamp) -> (bool, bool, u64) {
+    let answers = server.health().avoided_until <= now;
+    let (claims, version) = {
+        let listing = server.listing();
+        (listing.entry.role == ServerRole::Primary, listing.version)
+    };
+    (claims, answers, version)
+}
+
+/// The turn to ask for a proof; ends when dropped.
+pub struct Proving<'a>(&'a Group);
+
+impl Drop for Proving<'_> {
+    fn drop(&mut self) {
+        self.0.lock().proving = false;
+        self.0.notify();
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/lib.rs
@@ -0,0 +1,25 @@
+//! The path of a request over typed ports: sessions, units of work, servers, and who leads.
+//!
+//! A client's statement goes through `session` (what is known of the client), `unit` (one
+//! statement or one transaction), `group` (which server leads, what a read must show) and
+//! `server` (connections and exchanges). `directory` and `configuration` follow the platform's
+//! store. Dialects, store and promotion service are met through `ports`; the decisions are
+//! `spurpier_core`'s.
+
+pub mod clock;
+mod configuration;
+mod context;
+mod directory;
+pub mod events;
+mod follow;
+mod group;
+mod membership;
+mod node;
+pub mod ports;
+mod readiness;
+mod server;
+mod session;
+pub mod settings;
+mod unit;
+
+pub use node::{Node, NodeError, NodeParts, Stop};
--- /dev/null
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -0,0 +1,171 @@
+//! A node: the parts of the pipeline, started together and stopped together.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use spurpier_events::log_event;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::clock::Clock;
+use crate::context::Context;
+use crate::directory::{ConfigurationSink, ServerSink};
+use crate::events;
+use crate::follow::follow;
+use crate::membership::{NodeSink, list_self, unlist_self};
+use crate::ports::{
+    ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
+};
+use crate::readiness;
+use crate::session::serve_client;
+use crate::settings::PipelineSettings;
+
+/// How long the listener rests after a failed accept, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// For how long a draining node still takes clients that the load balancer sends it.
+const ACCEPT_ON: Duration = Duration::from_millis(2_600);
+/// How long taking the node off the list may take at its end.
+const UNLIST_LIMIT: Duration = Duration::from_millis(300);
+
+/// Why a node could not start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NodeError {
+    /// An address could not be bound.
+    Bind(SocketAddr),
+}
+
+impl fmt::Display for NodeError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            NodeError::Bind(address) => write!(formatter, "{address} cannot be bound"),
+        }
+    }
+}
+
+impl std::error::Error for NodeError {}
+
+/// What a node is made of.
+pub struct NodeParts {
+    /// The settings.
+    pub settings: PipelineSettings,
+    /// What clients speak.
+    pub client_dialect: Arc<dyn ClientDialect>,
+    /// What servers speak.
+    pub server_dialect: Arc<dyn ServerDialect>,
+    /// The platform's store.
+    pub store: Arc<dyn MetadataStore>,
+    /// Reads the store's rows.
+    pub entries: Arc<dyn EntryFormat>,
+    /// Names the server that takes over.
+    pub promotions: Arc<dyn PromotionService>,
+}
+
+/// Tells a node to stop.
+pub type Stop = CancellationToken;
+
+/// Runs nodes.
+#[derive(Debug)]
+pub struct Node;
+
+impl Node {
+    /// Runs a node until `stop` is cancelled and its sessions have ended.
+    ///
+    /// # Errors
+    ///
+    /// `Bind` if an address of the settings cannot be bound.
+    pub async fn run(parts: NodeParts, stop: Stop) -> Result<(), Report<NodeError>> {
+        let client_listener = bind(parts.settings.listen.client).await?;
+        let ready_listener = bind(parts.settings.listen.ready).await?;
+        let context = Arc::new(Context::new(parts));
+        start_tasks(&context, ready_listener);
+        log_event!(
+            events::NODE_STARTED,
+            node = context.settings.node.name,
+            zone = context.settings.node.zone,
+            client = context.settings.listen.client
+        );
+        let sessions = TaskTracker::new();
+        tokio::select! {
+            () = accept(&context, &client_listener, &sessions) => {}
+            () = stop.cancelled() => {}
+        }
+        drain(&context, client_listener, &sessions).await;
+        Ok(())
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Report<NodeError>> {
+    let bound = TcpListener::bind(address).await;
+    bound.change_context(NodeError::Bind(address))
+}
+
+impl Context {
+    fn new(parts: NodeParts) -> Self {
+        Context {
+            settings: parts.settings,
+            clock: Clock::new(),
+            client_dialect: parts.client_dialect,
+            server_dialect: parts.server_dialect,
+            store: parts.store,
+            entries: parts.entries,
+            promotions: parts.promotions,
+            configuration: watch::Sender::new(None),
+            groups: Mutex::default(),
+            nodes: AtomicUsize::new(1),
+            peers: Mutex::default(),
+            directory_known: watch::Sender::new(false),
+            draining: CancellationToken::new(),
+        }
+    }
+}
+
+fn start_tasks(context: &Arc<Context>, ready_listener: TcpListener) {
+    let shared = || Arc::clone(context);
+    tokio::spawn(context.clock.clone().watch_for_stalls());
+    tokio::spawn(readiness::serve(shared(), ready_listener));
+    let configuration = ConfigurationSink(shared());
+    tokio::spawn(follow(shared(), Table::Configuration, configuration));
+    let servers = ServerSink::new(shared());
+    tokio::spawn(follow(shared(), Table::Servers, servers));
+    tokio::spawn(follow(shared(), Table::Nodes, NodeSink(shared())));
+    let internal = context.settings.listen.internal;
+    tokio::spawn(list_self(shared(), internal));
+}
+
+/// Takes clients; never returns.
+async fn accept(context: &Arc<Context>, listener: &TcpListener, sessions: &TaskTracker) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                sessions.spawn(serve_client(Arc::clone(context), stream, peer));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+/// Is not ready, takes clients until the load balancer has seen it, and lets sessions end.
+///
+/// Open transactions have half of the grace to end.
+async fn drain(context: &Arc<Context>, listener: TcpListener, sessions: &TaskTracker) {
+    log_event!(events::NODE_DRAINING, sessions = sessions.len());
+    context.draining.cancel();
+    let grace = Duration::from_millis(context.settings.bounds.grace_ms);
+    let accept_on = ACCEPT_ON.min(grace / 2);
+    // It ends by the time alone.
+    let _ = timeout(accept_on, accept(context, &listener, sessions)).await;
+    drop(listener);
+    sessions.close();
+    let left = (grace * 3 / 4).saturating_sub(accept_on);
+    // Sessions that are still open then are cut by the end of the process.
+    let _ = timeout(left, sessions.wait()).await;
+    let _ = timeout(UNLIST_LIMIT, unlist_self(context)).await;
+    log_event!(events::NODE_DRAINED, cut = sessions.len());
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/server/health.rs
@@ -0,0 +1,76 @@
+//! What the exchanges with a server have shown.
+
+use std::time::Duration;
+
+use spurpier_core::position::Position;
+use spurpier_core::time::Timestamp;
+
+/// The weight of the newest answer's time, in sixteenths.
+const NEWEST_WEIGHT: u32 = 2;
+/// The answer time that is taken before the first answer.
+const FIRST_ANSWER_TIME: Duration = Duration::from_millis(20);
+/// For how long a silent or full server is passed over.
+const AVOIDANCE: Duration = Duration::from_millis(250);
+
+/// What the exchanges with a server have shown.
+#[derive(Debug, Clone)]
+pub struct Health {
+    /// The smoothed time of its answers.
+    pub answer_time: Duration,
+    /// Requests that run on it or wait for a connection to it.
+    pub in_flight: usize,
+    /// The newest position that it was seen to show, and when.
+    pub shown: Option<(Position, Timestamp)>,
+    /// Until when it is passed over.
+    pub avoided_until: Timestamp,
+    /// When the newest message left that it has answered.
+    pub answered_at: Option<Timestamp>,
+    /// Since when all messages to it have gone unanswered; none while it answers.
+    pub silent_since: Option<Timestamp>,
+    /// How many messages in a row have gone unanswered.
+    pub silences: u32,
+}
+
+impl Default for Health {
+    fn default() -> Self {
+        Health {
+            answer_time: FIRST_ANSWER_TIME,
+            in_flight: 0,
+            shown: None,
+            avoided_until: Timestamp::ZERO,
+            answered_at: None,
+            silent_since: None,
+            silences: 0,
+        }
+    }
+}
+
+impl Health {
+    /// Takes in an answer to a message that left at `sent_at`.
+    pub fn note_answer(&mut self, sent_at: Timestamp, now: Timestamp, shown: Option<Position>) {
+        self.answered_at = self.answered_at.max(Some(sent_at));
+        self.silent_since = None;
+        self.silences = 0;
+        if let Some(position) = shown {
+            self.shown = Some((position, now));
+        }
+    }
+
+    /// Takes in how long a read took.
+    pub fn note_time(&mut self, taken: Duration) {
+        let kept = self.answer_time * (16 - NEWEST_WEIGHT) / 16;
+        self.answer_time = kept + taken * NEWEST_WEIGHT / 16;
+    }
+
+    /// Takes in that a message went unanswered or could not be sent.
+    pub fn note_silence(&mut self, now: Timestamp) {
+        self.silent_since.get_or_insert(now);
+        self.silences += 1;
+        self.avoid(now);
+    }
+
+    /// Passes the server over for a while.
+    pub fn avoid(&mut self, now: Timestamp) {
+        self.avoided_until = now + AVOIDANCE;
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/server/mod.rs
@@ -0,0 +1,113 @@
+//! One server: what is known of it, and the connections to it.
+
+mod connection;
+mod health;
+mod pool;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use spurpier_core::lead::{Distance, ServerLoad};
+use spurpier_core::position::Position;
+use spurpier_core::time::Timestamp;
+
+pub use self::connection::{ExchangeError, OpenError, ServerConnection, Values};
+pub use self::health::Health;
+pub use self::pool::{AcquireError, Lease, Pool, Target};
+
+use crate::clock::Clock;
+use crate::ports::{ServerEntry, ServerRole};
+
+/// What the directory last said of a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listing {
+    /// The entry.
+    pub entry: ServerEntry,
+    /// The version of its row.
+    pub version: u64,
+    /// Since when it was seen to be draining or gone.
+    pub leaving_since: Option<Timestamp>,
+    /// Whether the entry is gone.
+    pub gone: bool,
+}
+
+/// One server of a group.
+#[derive(Debug)]
+pub struct Server {
+    /// Its name, never used again.
+    pub instance: String,
+    /// How far it is.
+    pub distance: Distance,
+    /// The connections to it.
+    pub pool: Arc<Pool>,
+    listing: Mutex<Listing>,
+    health: Mutex<Health>,
+}
+
+impl Server {
+    /// A server that the directory lists.
+    pub fn new(listing: Listing, distance: Distance, pool: Arc<Pool>) -> Self {
+        Server {
+            instance: listing.entry.instance.clone(),
+            distance,
+            pool,
+            listing: Mutex::new(listing),
+            health: Mutex::new(Health::default()),
+        }
+    }
+
+    /// What the directory last said.
+    pub fn listing(&self) -> MutexGuard<'_, Listing> {
+        self.listing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What the exchanges with it have shown.
+    pub fn health(&self) -> MutexGuard<'_, Health> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether it may be given new work, but for the lead's.
+    pub fn is_staying(&self) -> bool {
+        self.listing().leaving_since.is_none()
+    }
+
+    /// Whether it says that it leads the group.
+    pub fn claims_lead(&self) -> bool {
+        self.listing().entry.role == ServerRole::Primary
+    }
+
+    /// For how long it has been leaving; none if it stays.
+    pub fn leaving_for(&self, now: Timestamp) -> Option<Duration> {
+        self.listing().leaving_since.map(|since| now.since(since))
+    }
+
+    /// What a read's placement must know of it.
+    pub fn load(&self, leads: bool) -> ServerLoad {
+        let (staying, slots) = {
+            let listing = self.listing();
+            (listing.leaving_since.is_none(), listing.entry.slots)
+        };
+        let health = self.health();
+        ServerLoad {
+            distance: self.distance,
+            answer_time: health.answer_time,
+            in_flight: health.in_flight,
+            slots,
+            shown: health.shown,
+            avoided_until: health.avoided_until,
+            takes_reads: staying,
+            leads,
+        }
+    }
+
+    /// Takes in a whole answer and the position behind it.
+    pub fn note_answer(&self, clock: &Clock, sent_at: Timestamp, shown: Option<Position>) {
+        let now = clock.now();
+        self.health().note_answer(sent_at, now, shown);
+    }
+
+    /// Takes in that it did not answer.
+    pub fn note_silence(&self, clock: &Clock) {
+        self.health().note_silence(clock.now());
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/server/pool.rs
@@ -0,0 +1,320 @@
+//! The connections to one server and the units that use or await them.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use spurpier_core::time::Timestamp;
+use tokio::sync::Notify;
+
+use super::connection::{OpenError, ServerConnection, Values};
+use crate::clock::Clock;
+use crate::ports::ServerDialect;
+
+/// How long opening a connection may take.
+const OPEN_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Why a unit got no connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AcquireError {
+    /// All connections were in use until the unit's deadline.
+    Full,
+    /// A connection could not be opened.
+    Open(OpenError),
+}
+
+/// The server that a pool connects to.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its group.
+    pub group: String,
+    /// Its name.
+    pub instance: String,
+}
+
+#[derive(Debug)]
+struct PoolInner {
+    idle: Vec<ServerConnection>,
+    total: usize,
+    limit: usize,
+    waiting: usize,
+    opening: usize,
+    opened: u64,
+    /// The newest connection that could not be opened.
+    failure: Option<(Timestamp, OpenError)>,
+}
+
+/// The connections to one server.
+#[derive(Debug)]
+pub struct Pool {
+    target: Target,
+    dialect: Arc<dyn ServerDialect>,
+    clock: Clock,
+    inner: Mutex<PoolInner>,
+    freed: Notify,
+}
+
+impl Pool {
+    /// An empty pool of at most `limit` connections.
+    pub fn new(
+        target: Target,
+        dialect: Arc<dyn ServerDialect>,
+        clock: Clock,
+        limit: usize,
+    ) -> Arc<Self> {
+        Arc::new(Pool {
+            target,
+            dialect,
+            clock,
+            inner: Mutex::new(PoolInner {
+                idle: Vec::new(),
+                total: 0,
+                limit,
+                waiting: 0,
+                opening: 0,
+                opened: 0,
+                failure: None,
+            }),
+            freed: Notify::new(),
+        })
+    }
+
+    /// The address that the pool connects to.
+    pub fn address(&self) -> SocketAddr {
+        self.target.address
+    }
+
+    /// How many connections have been opened.
+    pub fn opened(&self) -> u64 {
+        self.lock().opened
+    }
+
+    /// How many connections are open or being opened.
+    pub fn total(&self) -> usize {
+        self.lock().total
+    }
+
+    /// Changes this node's share of the server's connections.
+    pub fn set_limit(&self, limit: usize) {
+        let surplus = {
+            let mut inner = self.lock();
+            inner.limit = limit;
+            let excess = inner.total.saturating_sub(limit);
+            let closing = excess.min(inner.idle.len());
+            inner.total -= closing;
+            let kept = inner.idle.len() - closing;
+            inner.idle.split_off(kept)
+        };
+        drop(surplus);
+        self.freed.notify_waiters();
+    }
+
+    /// Closes the idle connections, as for a server that is leaving or silent.
+    pub fn close_idle(&self) {
+        let closed = {
+            let mut inner = self.lock();
+            inner.total -= inner.idle.len();
+            std::mem::take(&mut inner.idle)
+        };
+        drop(closed);
+        self.freed.notify_one();
+    }
+
+    /// Waits for a connection, at most until `deadline`; one with these session values is
+    /// preferred.
+    ///
+    /// A connection that is opened for a unit which then gives up stays open for the next one.
+    ///
+    /// # Errors
+    ///
+    /// [`AcquireError`].
+    pub async fn acquire(
+        self: &Arc<Self>,
+        values: &Values,
+        deadline: Timestamp,
+    ) -> Result<Lease, AcquireError> {
+        let started = self.clock.now();
+        let _waiting = Waiting::new(self);
+        loop {
+            if let Some(connection) = self.take_idle(values) {
+                return Ok(Lease::new(self, connection));
+            }
+            if let Some(error) = self.failure_since(started) {
+                return Err(AcquireError::Open(error));
+            }
+            if let Some(opening) = self.start_opening() {
+                tokio::spawn(opening.run());
+            }
+            self.wait_for_room(deadline).await?;
+        }
+    }
+
+    fn failure_since(&self, started: Timestamp) -> Option<OpenError> {
+        let failure = self.lock().failure;
+        failure
+            .filter(|(at, _)| *at >= started)
+            .map(|(_, error)| error)
+    }
+
+    async fn wait_for_room(&self, deadline: Timestamp) -> Result<(), AcquireError> {
+        let end = self.clock.instant(deadline);
+        let freed = tokio::time::timeout_at(end, self.freed.notified()).await;
+        freed.map_err(|_| AcquireError::Full)
+    }
+
+    fn take_idle(&self, values: &Values) -> Option<ServerConnection> {
+        loop {
+            let mut connection = {
+                let mut inner = self.lock();
+                let index = best_match(&inner.idle, values)?;
+                inner.idle.swap_remove(index)
+            };
+            if connection.is_alive() {
+                return Some(connection);
+            }
+            self.lock().total -= 1;
+        }
+    }
+
+    /// One more connection, if the limit allows and not enough are being opened already.
+    fn start_opening(self: &Arc<Self>) -> Option<Opening> {
+        let mut inner = self.lock();
+        let wanted = inner.total < inner.limit && inner.opening < inner.waiting;
+        wanted.then(|| {
+            inner.total += 1;
+            inner.opening += 1;
+            inner.opened += 1;
+            Opening {
+                pool: Arc::clone(self),
+                connection: None,
+            }
+        })
+    }
+
+    fn give_back(&self, connection: ServerConnection) {
+        let surplus = {
+            let mut inner = self.lock();
+            if inner.total > inner.limit {
+                inner.total -= 1;
+                Some(connection)
+            } else {
+                inner.idle.push(connection);
+                None
+            }
+        };
+        drop(surplus);
+        self.freed.notify_one();
+    }
+
+    fn forget(&self) {
+        self.lock().total -= 1;
+        self.freed.notify_one();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PoolInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The idle connection that needs the fewest statements before a session's work.
+fn best_match(idle: &[ServerConnection], values: &Values) -> Option<usize> {
+    let cost = |connection: &ServerConnection| match &connection.values {
+        known if known == values => 0,
+        known if known.is_empty() => 1,
+        _ => 2,
+    };
+    let candidates = idle.iter().enumerate().rev();
+    candidates
+        .min_by_key(|(_, connection)| cost(connection))
+        .map(|(index, _)| index)
+}
+
+/// Counts a unit that waits.
+struct Waiting<'a>(&'a Pool);
+
+impl<'a> Waiting<'a> {
+    fn new(pool: &'a Pool) -> Self {
+        pool.lock().waiting += 1;
+        Waiting(pool)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.lock().waiting -= 1;
+    }
+}
+
+/// A connection that is being opened.
+struct Opening {
+    pool: Arc<Pool>,
+    connection: Option<ServerConnection>,
+}
+
+impl Opening {
+    async fn run(mut self) {
+        let pool = Arc::clone(&self.pool);
+        let target = &pool.target;
+        let dialect = Arc::clone(&pool.dialect);
+        let open = ServerConnection::open(target.address, dialect, &target.group, &target.instance);
+        let opened = tokio::time::timeout(OPEN_LIMIT, open).await;
+        match opened.unwrap_or(Err(OpenError::Unreachable)) {
+            Ok(connection) => self.connection = Some(connection),
+            Err(error) => pool.lock().failure = Some((pool.clock.now(), error)),
+        }
+    }
+}
+
+impl Drop for Opening {
+    fn drop(&mut self) {
+        self.pool.lock().opening -= 1;
+        match self.connection.take() {
+            Some(connection) => self.pool.give_back(connection),
+            None => {
+                self.pool.forget();
+                self.pool.freed.notify_waiters();
+            }
+        }
+    }
+}
+
+/// A connection for one unit alone. Dropping it closes the connection unless it is reusable.
+#[derive(Debug)]
+pub struct Lease {
+    pool: Arc<Pool>,
+    connection: Option<ServerConnection>,
+}
+
+impl Lease {
+    fn new(pool: &Arc<Pool>, connection: ServerConnection) -> Self {
+        Lease {
+            pool: Arc::clone(pool),
+            connection: Some(connection),
+        }
+    }
+
+    /// The connection; none after it was given up.
+    pub fn connection(&mut self) -> Option<&mut ServerConnection> {
+        self.connection.as_mut()
+    }
+
+    /// Closes the connection.
+    pub fn close(mut self) {
+        self.connection = None;
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        match self.connection.take() {
+            Some(connection) if connection.is_reusable() => self.pool.give_back(connection),
+            Some(connection) => {
+                drop(connection);
+                self.pool.forget();
+            }
+            None => self.pool.forget(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/session/statements.rs
@@ -0,0 +1,177 @@
+//! A session's statements: those that it answers itself, and those that become units of work.
+
+use std::sync::Arc;
+
+use spurpier_core::lead::OwnCommit;
+use spurpier_core::position::Position;
+use tokio::time::Instant;
+
+use super::state::{Prepared, SessionState};
+use crate::ports::{Answer, Effect, ErrorClass, Request, Statement, TransactionState};
+use crate::unit::{Done, OpenTransaction, PreparedUse, Times, Unit, Work};
+
+impl SessionState {
+    /// Runs a statement and gives its answer.
+    pub async fn run(&mut self, request: Request) -> Answer {
+        let state = self.transaction_state();
+        let answer = if state == TransactionState::Failed {
+            self.run_in_failed(request).await
+        } else {
+            self.run_statement(request, state).await
+        };
+        self.rests_since = Instant::now();
+        answer
+    }
+
+    /// In a failed transaction only its end is taken.
+    async fn run_in_failed(&mut self, request: Request) -> Answer {
+        match request.statement {
+            Statement::Rollback => self.roll_back().await,
+            Statement::Commit => {
+                self.end().await;
+                let text = "the transaction had failed";
+                Answer::error(ErrorClass::Aborted, text, TransactionState::Idle)
+            }
+            _ => {
+                let text = "the transaction has failed";
+                Answer::error(ErrorClass::Malformed, text, TransactionState::Failed)
+            }
+        }
+    }
+
+    async fn run_statement(&mut self, request: Request, state: TransactionState) -> Answer {
+        let Request {
+            id,
+            text,
+            statement,
+        } = request;
+        match statement {
+            Statement::Set { name, value } => {
+                self.values.insert(name, value);
+                Answer::done(state)
+            }
+            Statement::Prepare {
+                name,
+                effect,
+                shape,
+            } => {
+                self.prepared.insert(name, Prepared { effect, shape });
+                Answer::done(state)
+            }
+            Statement::Deallocate { name } => match self.prepared.remove(&name) {
+                Some(_) => Answer::done(state),
+                None => unknown_name(state),
+            },
+            Statement::Execute { name, arguments } => match self.prepared.get(&name) {
+                Some(prepared) => {
+                    let prepared = PreparedUse {
+                        effect: prepared.effect,
+                        shape: prepared.shape.clone(),
+                        arguments,
+                    };
+                    let effect = prepared.effect;
+                    self.run_work(Work::execution(id, text, prepared), effect)
+                        .await
+                }
+                None => unknown_name(state),
+            },
+            Statement::Run(effect) => self.run_work(Work::plain(id, text), effect).await,
+            Statement::Begin { read_only } if state == TransactionState::Idle => {
+                self.begin(Work::plain(id, text), read_only).await
+            }
+            Statement::Commit if state == TransactionState::Open => {
+                self.commit(Work::plain(id, text)).await
+            }
+            Statement::Rollback if state == TransactionState::Open => self.roll_back().await,
+            Statement::Begin { .. }
+            | Statement::Commit
+            | Statement::Rollback
+            | Statement::Malformed => Answer::error(ErrorClass::Malformed, "not taken here", state),
+        }
+    }
+
+    async fn run_work(&mut self, work: Work, effect: Effect) -> Answer {
+        if let Some(transaction) = &mut self.transaction {
+            transaction.renew_times();
+            transaction.unit.values.clone_from(&self.values);
+            return transaction.run(&work, effect == Effect::Write).await;
+        }
+        let Some(unit) = self.unit() else {
+            return unknown_database();
+        };
+        let done = match effect {
+            Effect::Read => unit.read(&work).await,
+            Effect::Write => unit.write(&work).await,
+        };
+        self.settle(&unit.group.name, done)
+    }
+
+    async fn begin(&mut self, work: Work, read_only: bool) -> Answer {
+        let Some(unit) = self.unit() else {
+            return unknown_database();
+        };
+        let (answer, transaction) = OpenTransaction::begin(unit, &work, read_only).await;
+        self.transaction = transaction;
+        answer
+    }
+
+    async fn commit(&mut self, work: Work) -> Answer {
+        let Some(mut transaction) = self.transaction.take() else {
+            return Answer::error(
+                ErrorClass::Malformed,
+                "no transaction",
+                TransactionState::Idle,
+            );
+        };
+        transaction.renew_times();
+        transaction.unit.values.clone_from(&self.values);
+        let group = transaction.unit.group.name.clone();
+        let done = transaction.commit(&work).await;
+        self.settle(&group, done)
+    }
+
+    async fn roll_back(&mut self) -> Answer {
+        self.end().await;
+        Answer::done(TransactionState::Idle)
+    }
+
+    /// The unit of a statement outside a transaction; none if its database has no route now.
+    fn unit(&self) -> Option<Unit> {
+        let route = self.context.in_force()?.route(&self.database)?;
+        let own_commit = self.own_commit.as_ref();
+        let own_commit = own_commit.filter(|(group, _)| *group == route.group);
+        Some(Unit {
+            context: Arc::clone(&self.context),
+            group: self.context.group(&route.group),
+            values: self.values.clone(),
+            own_commit: own_commit.map(|(_, commit)| *commit),
+            times: Times::of(&route, &self.context.clock),
+            route,
+        })
+    }
+
+    /// Takes in what a unit has committed.
+    fn settle(&mut self, group: &str, done: Done) -> Answer {
+        if let Some(position) = done.committed {
+            self.note_commit(group, position);
+        }
+        done.answer
+    }
+
+    fn note_commit(&mut self, group: &str, position: Position) {
+        let commit = OwnCommit {
+            position,
+            acknowledged_at: self.context.clock.now(),
+        };
+        self.own_commit = Some((group.to_owned(), commit));
+    }
+}
+
+fn unknown_name(state: TransactionState) -> Answer {
+    Answer::error(ErrorClass::UnknownName, "no such name", state)
+}
+
+fn unknown_database() -> Answer {
+    let text = "no such database";
+    Answer::error(ErrorClass::UnknownDatabase, text, TransactionState::Idle)
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/settings.rs
@@ -0,0 +1,84 @@
+//! The settings of a node before groups that are promoted from outside.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+/// All settings.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct PipelineSettings {
+    /// The node.
+    pub node: NodeSettings,
+    /// Where it listens.
+    pub listen: ListenSettings,
+    /// The region of each zone.
+    #[serde(default)]
+    pub zones: BTreeMap<String, String>,
+    /// Where the platform is.
+    pub platform: PlatformSettings,
+    /// What the platform promises and asks for.
+    #[serde(default)]
+    pub bounds: BoundSettings,
+}
+
+/// The node.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct NodeSettings {
+    /// Its name, unique among living nodes.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+}
+
+/// Where a node listens.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct ListenSettings {
+    /// Clients.
+    pub client: SocketAddr,
+    /// The readiness endpoint.
+    pub ready: SocketAddr,
+    /// Messages of other nodes, over UDP and TCP.
+    pub internal: SocketAddr,
+}
+
+/// Where the platform is.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct PlatformSettings {
+    /// Its metadata store.
+    pub store: SocketAddr,
+    /// Its promotion service.
+    pub promotion: SocketAddr,
+}
+
+/// What the platform promises and asks for.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct BoundSettings {
+    /// How long a server that leaves may still be given work, in milliseconds.
+    pub server_drain_ms: u64,
+    /// How long a node may take to end after SIGTERM, in milliseconds.
+    pub grace_ms: u64,
+}
+
+impl Default for BoundSettings {
+    fn default() -> Self {
+        BoundSettings {
+            server_drain_ms: 7_000,
+            grace_ms: 6_000,
+        }
+    }
+}
+
+impl PipelineSettings {
+    /// Reads the settings of a TOML text; keys that are not known are passed over.
+    ///
+    /// # Errors
+    ///
+    /// The first fault of the text, with its place.
+    pub fn parse(text: &str) -> Result<Self, toml::de::Error> {
+        toml::from_str(text)
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/unit/lead.rs
@@ -0,0 +1,157 @@
+//! Work that only the lead can do: finding it, and having it prove its lead.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use spurpier_core::position::Position;
+use spurpier_core::time::Timestamp;
+
+use super::attempt::{Failure, Place, own_attempt};
+use super::{NotRun, Unit};
+use crate::context::Context;
+use crate::group::Group;
+use crate::ports::{ErrorClass, ServerRequest, TransactionState};
+use crate::server::{AcquireError, OpenError, Server, Values};
+
+/// How long the lead may take to open a transaction before it counts as silent.
+const BEGIN_LIMIT: Duration = Duration::from_millis(500);
+/// How often a unit that waits for a lead looks again.
+const RECHECK: Duration = Duration::from_millis(40);
+/// The pause after a server refused one more connection.
+const CONNECTION_PAUSE: Duration = Duration::from_millis(20);
+/// Messages in a row that went unanswered, from which on a server is left to the watch.
+const SILENT_AFTER: u32 = 2;
+
+/// A transaction that the lead has opened.
+pub struct Begun {
+    /// The connection.
+    pub place: Place,
+    /// The position that the lead showed.
+    pub position: Position,
+}
+
+/// Takes a connection to the server that is most likely to lead, at most until `until`.
+pub async fn take_lead(
+    context: &Context,
+    group: &Group,
+    values: &Values,
+    until: Timestamp,
+) -> Result<Place, NotRun> {
+    let clock = &context.clock;
+    let mut changes = group.changes();
+    loop {
+        changes.borrow_and_update();
+        let candidate = group.lead_candidate(clock.now(), context.leaving_use());
+        let mut missing = NotRun::NoLead;
+        if let Some(server) = candidate.filter(|server| answers(server, clock.now())) {
+            match server.pool.acquire(values, until).await {
+                Ok(lease) => return Ok(Place::new(server, lease)),
+                Err(AcquireError::Full) => return Err(NotRun::NoConnection),
+                Err(AcquireError::Open(OpenError::Refused(ErrorClass::TooManyConnections))) => {
+                    tokio::time::sleep(CONNECTION_PAUSE).await;
+                    missing = NotRun::NoConnection;
+                }
+                Err(AcquireError::Open(_)) => {
+                    server.note_silence(clock);
+                    group.note_denial(&server, clock.now());
+                }
+            }
+        }
+        if clock.now() >= until {
+            return Err(missing);
+        }
+        let recheck = clock.instant(until.min(clock.now() + RECHECK));
+        // Nothing is lost if the time passes first: the loop looks again.
+        let _ = tokio::time::timeout_at(recheck, changes.changed()).await;
+    }
+}
+
+/// Whether a server is worth asking: not one that has just left several messages unanswered.
+fn answers(server: &Server, now: Timestamp) -> bool {
+    let health = server.health();
+    health.silences < SILENT_AFTER || health.avoided_until <= now
+}
+
+/// Has the lead open a transaction that may write, which proves the lead; at most until `until`.
+pub async fn begin_on_lead(
+    context: &Context,
+    group: &Group,
+    values: &Values,
+    until: Timestamp,
+) -> Result<Begun, NotRun> {
+    let clock = &context.clock;
+    loop {
+        let place = take_lead(context, group, values, until).await?;
+        let server = Arc::clone(&place.server);
+        let limit = clock.now() + BEGIN_LIMIT;
+        let (place, result) = own_attempt(clock, place, ServerRequest::Begin, limit).await;
+        let reason = match (place, result) {
+            (Some(place), Ok(answered)) if answered.answer.outcome.is_ok() => {
+                if answered.answer.state == TransactionState::Open {
+                    let position = answered.answer.position;
+                    group.note_proof(&server, answered.sent_at, position);
+                    let position = position.unwrap_or(Position::ZERO);
+                    return Ok(Begun { place, position });
+                }
+                NotRun::NoLead
+            }
+            (_, Ok(answered)) => match answered.answer.error_class() {
+                Some(ErrorClass::ReadOnly) => {
+                    group.note_denial(&server, clock.now());
+                    NotRun::NoLead
+                }
+                _ => NotRun::ServerBusy,
+            },
+            (_, Err(Failure::NotSent | Failure::Broken)) => NotRun::NoLead,
+            (_, Err(_)) => NotRun::NoLead,
+        };
+        if clock.now() >= until {
+            return Err(reason);
+        }
+    }
+}
+
+/// Makes sure that a proof sent at or after `since` is known, at most until `until`.
+///
+/// Units that need one at the same time share one exchange.
+pub async fn renew_proof(
+    context: &Context,
+    group: &Group,
+    since: Timestamp,
+    until: Timestamp,
+) -> Result<(), NotRun> {
+    let clock = &context.clock;
+    let mut changes = group.changes();
+    loop {
+        changes.borrow_and_update();
+        if group.proven_at().is_some_and(|proven| proven >= since) {
+            return Ok(());
+        }
+        if let Some(_turn) = group.start_proving() {
+            let begun = begin_on_lead(context, group, &Values::new(), until).await;
+            let mut begun = begun?;
+            if let Ok(connection) = begun.place.connection() {
+                // A connection that breaks here is closed when the place is dropped.
+                let _ = connection.roll_back().await;
+            }
+            continue;
+        }
+        let end = clock.instant(until);
+        let changed = tokio::time::timeout_at(end, changes.changed()).await;
+        changed
+            .map_err(|_| NotRun::NoLead)?
+            .map_err(|_| NotRun::NoLead)?;
+    }
+}
+
+impl Unit {
+    /// As [`begin_on_lead`], for this unit.
+    pub async fn begin_on_lead(&self, until: Timestamp) -> Result<Begun, NotRun> {
+        begin_on_lead(&self.context, &self.group, &self.values, until).await
+    }
+
+    /// As [`take_lead`], for this unit.
+    pub async fn take_lead(&self, until: Timestamp) -> Result<Place, NotRun> {
+        take_lead(&self.context, &self.group, &self.values, until).await
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -0,0 +1,142 @@
+//! Units of work: one statement outside a transaction, or one transaction.
+//!
+//! What must hold: a write is sent once, and again only after a server's own promise that it did
+//! not run; a read that must see the newest log runs in a transaction that only the lead accepts;
+//! any other read runs behind the position that its freshness asks for; a connection with an
+//! answer outstanding is never used for another session.
+
+mod attempt;
+mod lead;
+mod read;
+mod times;
+mod transaction;
+mod work;
+mod write;
+
+use std::sync::Arc;
+
+use spurpier_core::lead::OwnCommit;
+use spurpier_core::position::Position;
+use spurpier_events::log_event;
+
+pub use self::times::Times;
+pub use self::transaction::OpenTransaction;
+pub use self::work::{PreparedUse, Work};
+
+use crate::context::Context;
+use crate::events;
+use crate::group::Group;
+use crate::ports::{Answer, ErrorClass, FreshnessKind, Route, TransactionState};
+use crate::server::Values;
+
+/// What a unit knows of its session and its route.
+pub struct Unit {
+    /// What all units share.
+    pub context: Arc<Context>,
+    /// The group that serves it.
+    pub group: Arc<Group>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The session's values.
+    pub values: Values,
+    /// The session's last commit in this group.
+    pub own_commit: Option<OwnCommit>,
+    /// Its limits in time.
+    pub times: Times,
+}
+
+/// Why a unit has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotRun {
+    /// No server leads the group, as far as is known.
+    NoLead,
+    /// All connections are in use.
+    NoConnection,
+    /// The server has too much work.
+    ServerBusy,
+    /// No server shows the position that is asked for.
+    NoFreshServer,
+    /// No server can be reached.
+    NoServer,
+}
+
+impl NotRun {
+    const fn text(self) -> &'static str {
+        match self {
+            NotRun::NoLead => "no_lead",
+            NotRun::NoConnection => "no_connection",
+            NotRun::ServerBusy => "server_busy",
+            NotRun::NoFreshServer => "no_fresh_server",
+            NotRun::NoServer => "no_server",
+        }
+    }
+
+    /// When a client should come back, in milliseconds.
+    const fn retry_after_ms(self) -> u32 {
+        match self {
+            NotRun::NoLead | NotRun::NoServer => 300,
+            NotRun::NoFreshServer => 200,
+            NotRun::NoConnection | NotRun::ServerBusy => 100,
+        }
+    }
+}
+
+/// A unit's answer and what it means for the session.
+#[derive(Debug)]
+pub struct Done {
+    /// The answer.
+    pub answer: Answer,
+    /// The position of a commit that the answer acknowledges.
+    pub committed: Option<Position>,
+}
+
+impl Done {
+    fn answer(answer: Answer) -> Self {
+        let committed = None;
+        Done { answer, committed }
+    }
+}
+
+impl Unit {
+    fn is_latest(&self) -> bool {
+        self.route.freshness == FreshnessKind::Latest
+    }
+
+    /// The answer of a statement that has not run.
+    fn refuse(&self, id: &str, reason: NotRun) -> Answer {
+        let retry_after_ms = reason.retry_after_ms();
+        log_event!(
+            events::REQUEST_NOT_RUN,
+            request = id,
+            group = self.group.name,
+            reason = reason.text(),
+            retry_after_ms = retry_after_ms,
+            waited_ms = self.times.waited(self.context.clock.now()).as_millis()
+        );
+        let text = format!("retry-after-ms={retry_after_ms} {}", reason.text());
+        Answer::error(ErrorClass::Busy, text, TransactionState::Idle)
+    }
+
+    /// The answer of a statement of which cannot be told whether it ran.
+    fn doubt(&self, id: &str, class: ErrorClass, server: &str) -> Answer {
+        log_event!(
+            events::REQUEST_UNKNOWN,
+            request = id,
+            group = self.group.name,
+            server = server,
+            class = format!("{class:?}"),
+            waited_ms = self.times.waited(self.context.clock.now()).as_millis()
+        );
+        Answer::error(class, "no answer came", TransactionState::Idle)
+    }
+
+    fn note_retry(&self, id: &str, server: &str, why: &str) {
+        log_event!(
+            events::REQUEST_RETRIED,
+            request = id,
+            group = self.group.name,
+            server = server,
+            why = why
+        );
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -0,0 +1,222 @@
+//! Reads outside a transaction, and where reads run.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use spurpier_core::lead::choose_read_server;
+use spurpier_core::position::Position;
+use spurpier_core::time::Timestamp;
+
+use super::attempt::{Answered, Failure, Manner, Place};
+use super::lead::renew_proof;
+use super::work::Work;
+use super::write::outside_transaction;
+use super::{Done, NotRun, Unit};
+use crate::ports::{Answer, ErrorClass};
+use crate::server::{AcquireError, OpenError, Server};
+
+/// Servers that one read tries.
+const ATTEMPTS: usize = 4;
+/// A proof older than this share of the allowed staleness is renewed ahead of need.
+const RENEW_AHEAD: u32 = 2;
+
+impl Unit {
+    /// Runs a read.
+    pub async fn read(&self, work: &Work) -> Done {
+        let answer = if self.is_latest() {
+            self.read_latest(work).await
+        } else {
+            self.read_fresh(work).await
+        };
+        Done::answer(answer)
+    }
+
+    /// Runs a read in a transaction that only the lead accepts.
+    async fn read_latest(&self, work: &Work) -> Answer {
+        let mut refused = NotRun::NoLead;
+        for _ in 0..ATTEMPTS {
+            let begun = match self.begin_on_lead(self.times.wait_until).await {
+                Ok(begun) => begun,
+                Err(reason) => return self.refuse(&work.id, reason),
+            };
+            let server = Arc::clone(&begun.place.server);
+            let until = self.attempt_end();
+            let manner = Manner::ThenRollBack;
+            let (_, result) = self.attempt(begun.place, work, manner, until).await;
+            match self.judge_read(work, &server, result) {
+                Ok(answer) => return outside_transaction(answer),
+                Err(reason) => refused = reason,
+            }
+            if self.context.clock.now() >= self.times.give_up {
+                return self.doubt(&work.id, ErrorClass::Timeout, &server.instance);
+            }
+        }
+        self.refuse(&work.id, refused)
+    }
+
+    /// Runs a read behind the position that its freshness asks for, on the best server.
+    async fn read_fresh(&self, work: &Work) -> Answer {
+        let mut floor = match self.floor().await {
+            Ok(floor) => floor,
+            Err(reason) => return self.refuse(&work.id, reason),
+        };
+        let mut tried = Vec::new();
+        let mut refused = NotRun::NoServer;
+        for _ in 0..ATTEMPTS {
+            let place = match self.take_reader(floor, &mut tried).await {
+                Ok(place) => place,
+                Err(NotRun::NoServer) => break,
+                Err(reason) => {
+                    refused = reason;
+                    continue;
+                }
+            };
+            let server = Arc::clone(&place.server);
+            let until = self.attempt_end();
+            let manner = Manner::Alone(after(floor));
+            let (_, result) = self.attempt(place, work, manner, until).await;
+            match self.judge_read(work, &server, result) {
+                Ok(answer) => return answer,
+                Err(reason) => refused = reason,
+            }
+            if self.context.clock.now() >= self.times.give_up {
+                return self.doubt(&work.id, ErrorClass::Timeout, &server.instance);
+            }
+            if refused == NotRun::NoFreshServer && self.is_lead(&server) {
+                // The lead itself lacks the position: it was dropped when the lead changed.
+                match self.newest_floor().await {
+                    Ok(newest) => floor = newest,
+                    Err(reason) => return self.refuse(&work.id, reason),
+                }
+                tried.clear();
+            }
+        }
+        self.refuse(&work.id, refused)
+    }
+
+    /// An answer to pass on, or why another server is to be tried.
+    fn judge_read(
+        &self,
+        work: &Work,
+        server: &Server,
+        result: Result<Answered, Failure>,
+    ) -> Result<Answer, NotRun> {
+        let (class, why) = match result {
+            Ok(Answered { answer, .. }) => match answer.error_class() {
+                Some(class) if class.is_not_run() => (class, "refused"),
+                _ => return Ok(answer),
+            },
+            Err(Failure::Refused(class)) => (class, "refused"),
+            Err(Failure::NotSent | Failure::Broken) => (ErrorClass::Other, "broken"),
+            Err(Failure::Silent) => (ErrorClass::Other, "silent"),
+        };
+        if class != ErrorClass::Lagging {
+            self.note_retry(&work.id, &server.instance, why);
+        }
+        Err(self.note_refusal(server, class))
+    }
+
+    /// Until when the present attempt may last: a part of what is left, so that another can
+    /// follow.
+    fn attempt_end(&self) -> Timestamp {
+        let now = self.context.clock.now();
+        let left = self.times.give_up.since(now);
+        if left < Duration::from_millis(150) {
+            return self.times.give_up;
+        }
+        now + left * 6 / 10
+    }
+
+    fn is_lead(&self, server: &Server) -> bool {
+        let lead = self.group.lead();
+        lead.is_some_and(|lead| lead.instance == server.instance)
+    }
+
+    /// The position that the unit's reads must find.
+    pub(super) async fn floor(&self) -> Result<Position, NotRun> {
+        let staleness = self.route.freshness.staleness();
+        let since = before(self.times.arrived, staleness);
+        loop {
+            if let Some(floor) = self.group.read_floor(since, self.own_commit) {
+                self.renew_ahead(staleness);
+                return Ok(floor);
+            }
+            renew_proof(&self.context, &self.group, since, self.times.wait_until).await?;
+        }
+    }
+
+    /// The position of a proof that covers all that was acknowledged before now.
+    async fn newest_floor(&self) -> Result<Position, NotRun> {
+        let since = self.context.clock.now();
+        renew_proof(&self.context, &self.group, since, self.times.wait_until).await?;
+        let floor = self.group.read_floor(since, self.own_commit);
+        floor.ok_or(NotRun::NoFreshServer)
+    }
+
+    /// Has the proof renewed before it is too old, so that reads need not wait for it.
+    fn renew_ahead(&self, staleness: Duration) {
+        let now = self.context.clock.now();
+        let renew_at = staleness / RENEW_AHEAD;
+        let is_young = self
+            .group
+            .proven_at()
+            .is_some_and(|proven| now.since(proven) < renew_at);
+        if is_young || self.group.is_proving() {
+            return;
+        }
+        let (context, group) = (Arc::clone(&self.context), Arc::clone(&self.group));
+        tokio::spawn(async move {
+            let until = now + staleness / RENEW_AHEAD;
+            // If it fails, the read that needs the proof asks again.
+            let _ = renew_proof(&context, &group, now, until).await;
+        });
+    }
+
+    /// Takes a connection to the best server that has not been tried.
+    pub(super) async fn take_reader(
+        &self,
+        floor: Position,
+        tried: &mut Vec<String>,
+    ) -> Result<Place, NotRun> {
+        let clock = &self.context.clock;
+        let servers = self.group.servers();
+        let lead = self.group.lead().map(|lead| lead.instance.clone());
+        let leads = |server: &Server| lead.as_deref() == Some(server.instance.as_str());
+        let loads: Vec<_> = servers
+            .iter()
+            .map(|server| server.load(leads(server)))
+            .collect();
+        let excluded: Vec<usize> = (0..servers.len())
+            .filter(|index| tried.contains(&servers[*index].instance))
+            .collect();
+        let chosen = choose_read_server(&loads, &excluded, floor, clock.now());
+        let server = Arc::clone(&servers[chosen.ok_or(NotRun::NoServer)?]);
+        tried.push(server.instance.clone());
+        let until = self.times.wait_until;
+        match server.pool.acquire(&self.values, until).await {
+            Ok(lease) => Ok(Place::new(server, lease)),
+            Err(AcquireError::Full) => {
+                server.health().avoid(clock.now());
+                Err(NotRun::NoConnection)
+            }
+            Err(AcquireError::Open(OpenError::Refused(class))) => {
+                Err(self.note_refusal(&server, class))
+            }
+            Err(AcquireError::Open(OpenError::Unreachable)) => {
+                server.note_silence(clock);
+                Err(NotRun::ServerBusy)
+            }
+        }
+    }
+}
+
+/// A moment so long before another one.
+fn before(moment: Timestamp, duration: Duration) -> Timestamp {
+    let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+    Timestamp::from_micros(moment.as_micros().saturating_sub(micros))
+}
+
+/// A floor as a statement carries it; the start of the log needs none.
+pub(super) fn after(floor: Position) -> Option<Position> {
+    (floor != Position::ZERO).then_some(floor)
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/unit/transaction.rs
@@ -0,0 +1,238 @@
+//! Transactions: all statements on the connection that opened them.
+
+use std::sync::Arc;
+
+use spurpier_core::time::Timestamp;
+use spurpier_events::log_event;
+
+use super::attempt::{Answered, Failure, Manner, Place};
+use super::read::after;
+use super::work::Work;
+use super::{Done, NotRun, Unit};
+use crate::events;
+use crate::ports::{Answer, ErrorClass, TransactionState};
+
+/// Servers that the opening of a read-only transaction tries.
+const ATTEMPTS: usize = 4;
+
+/// A transaction that stands open.
+pub struct OpenTransaction {
+    /// The unit that opened it.
+    pub unit: Unit,
+    /// Its connection; none after it was given up, when only its end is taken.
+    place: Option<Place>,
+    /// Whether the server holds it as failed.
+    failed: bool,
+    read_only: bool,
+    wrote: bool,
+}
+
+impl OpenTransaction {
+    /// Opens a transaction; gives the client's answer, and the transaction if it is open.
+    pub async fn begin(unit: Unit, work: &Work, read_only: bool) -> (Answer, Option<Self>) {
+        let opened = if read_only {
+            unit.begin_read_only(work).await
+        } else {
+            let begun = unit.begin_on_lead(unit.times.wait_until).await;
+            begun.map(|begun| begun.place)
+        };
+        match opened {
+            Ok(place) => {
+                let transaction = OpenTransaction {
+                    unit,
+                    place: Some(place),
+                    failed: false,
+                    read_only,
+                    wrote: false,
+                };
+                (Answer::done(TransactionState::Open), Some(transaction))
+            }
+            Err(reason) => (unit.refuse(&work.id, reason), None),
+        }
+    }
+
+    /// The state that the client is told.
+    pub fn state(&self) -> TransactionState {
+        if self.failed || self.place.is_none() {
+            TransactionState::Failed
+        } else {
+            TransactionState::Open
+        }
+    }
+
+    /// Runs a statement, at most until the unit's time is over.
+    pub async fn run(&mut self, work: &Work, writes: bool) -> Answer {
+        let Some(place) = self.place.take() else {
+            return Answer::error(ErrorClass::Malformed, "failed", TransactionState::Failed);
+        };
+        let server = Arc::clone(&place.server);
+        let give_up = self.unit.times.give_up;
+        let attempt = self.unit.attempt(place, work, Manner::Alone(None), give_up);
+        let (place, result) = attempt.await;
+        match result {
+            Ok(Answered { answer, .. }) => {
+                self.take_answer(place, &answer, writes);
+                if answer.error_class() == Some(ErrorClass::ReadOnly) && !self.read_only {
+                    let now = self.unit.context.clock.now();
+                    self.unit.group.note_denial(&server, now);
+                }
+                answer
+            }
+            Err(failure) => {
+                self.failed = true;
+                self.abort(work, &server.instance, failure)
+            }
+        }
+    }
+
+    fn take_answer(&mut self, place: Option<Place>, answer: &Answer, writes: bool) {
+        self.wrote |= writes && answer.outcome.is_ok();
+        self.failed = answer.state != TransactionState::Open;
+        self.place = place;
+    }
+
+    /// The answer after the connection was given up: the server drops the transaction.
+    fn abort(&self, work: &Work, server: &str, failure: Failure) -> Answer {
+        log_event!(
+            events::REQUEST_NOT_RUN,
+            request = work.id,
+            group = self.unit.group.name,
+            server = server,
+            reason = format!("transaction aborted: {failure:?}"),
+            waited_ms = self
+                .unit
+                .times
+                .waited(self.unit.context.clock.now())
+                .as_millis()
+        );
+        let text = "retry-after-ms=100 the transaction was dropped";
+        Answer::error(ErrorClass::Aborted, text, TransactionState::Failed)
+    }
+
+    /// Commits.
+    pub async fn commit(mut self, work: &Work) -> Done {
+        let Some(place) = self.place.take_if(|_| !self.failed) else {
+            self.roll_back().await;
+            let text = "the transaction had failed";
+            let answer = Answer::error(ErrorClass::Aborted, text, TransactionState::Idle);
+            return Done::answer(answer);
+        };
+        let server = Arc::clone(&place.server);
+        let unit = &self.unit;
+        let manner = Manner::Alone(None);
+        let (_, result) = unit.attempt(place, work, manner, unit.times.give_up).await;
+        match result {
+            Ok(Answered { answer, sent_at }) => {
+                let mut committed = None;
+                if answer.outcome.is_ok() && self.wrote {
+                    unit.group.note_proof(&server, sent_at, answer.position);
+                    committed = answer.position;
+                }
+                if answer.error_class() == Some(ErrorClass::ReadOnly) {
+                    unit.group.note_denial(&server, unit.context.clock.now());
+                }
+                Done { answer, committed }
+            }
+            Err(Failure::NotSent | Failure::Refused(_)) => {
+                let mut answer = self.abort(work, &server.instance, Failure::NotSent);
+                answer.state = TransactionState::Idle;
+                Done::answer(answer)
+            }
+            Err(Failure::Broken | Failure::Silent) => {
+                let doubt = unit.doubt(&work.id, ErrorClass::InDoubt, &server.instance);
+                Done::answer(doubt)
+            }
+        }
+    }
+
+    /// Drops the transaction; the server is told.
+    pub async fn roll_back(mut self) {
+        if let Some(mut place) = self.place.take()
+            && let Ok(connection) = place.connection()
+        {
+            // A connection that breaks here is closed, which drops the transaction too.
+            let _ = connection.roll_back().await;
+        }
+    }
+
+    /// Gives the connection up: the server drops the transaction, and only its end is taken.
+    pub async fn expire(&mut self) {
+        if let Some(mut place) = self.place.take()
+            && let Ok(connection) = place.connection()
+        {
+            let _ = connection.roll_back().await;
+        }
+        self.failed = true;
+    }
+
+    /// Gives the unit new limits in time, for its next statement.
+    pub fn renew_times(&mut self) {
+        self.unit.times = super::Times::of(&self.unit.route, &self.unit.context.clock);
+    }
+}
+
+impl Unit {
+    /// Opens a read-only transaction behind the position that its freshness asks for.
+    async fn begin_read_only(&self, work: &Work) -> Result<Place, NotRun> {
+        if self.is_latest() {
+            return self.begin_read_only_on_lead(work).await;
+        }
+        let floor = self.floor().await?;
+        let mut tried = Vec::new();
+        let mut refused = NotRun::NoServer;
+        for _ in 0..ATTEMPTS {
+            let place = match self.take_reader(floor, &mut tried).await {
+                Ok(place) => place,
+                Err(NotRun::NoServer) => break,
+                Err(reason) => {
+                    refused = reason;
+                    continue;
+                }
+            };
+            let limit = self.opening_end();
+            match self.open_behind(place, work, after(floor), limit).await {
+                Ok(place) => return Ok(place),
+                Err(reason) => refused = reason,
+            }
+        }
+        Err(refused)
+    }
+
+    /// Opens a read-only transaction that sees the newest log: behind a position that the lead
+    /// has shown since the unit arrived.
+    async fn begin_read_only_on_lead(&self, work: &Work) -> Result<Place, NotRun> {
+        let mut begun = self.begin_on_lead(self.times.wait_until).await?;
+        let connection = begun.place.connection();
+        let connection = connection.map_err(|_| NotRun::NoLead)?;
+        let dropped = connection.roll_back().await;
+        dropped.map_err(|_| NotRun::NoLead)?;
+        let limit = self.opening_end();
+        self.open_behind(begun.place, work, after(begun.position), limit)
+            .await
+    }
+
+    fn opening_end(&self) -> Timestamp {
+        let now = self.context.clock.now();
+        now + self.times.give_up.since(now) / 2
+    }
+
+    async fn open_behind(
+        &self,
+        place: Place,
+        work: &Work,
+        floor: Option<spurpier_core::position::Position>,
+        until: Timestamp,
+    ) -> Result<Place, NotRun> {
+        let server = Arc::clone(&place.server);
+        let (place, result) = self.attempt(place, work, Manner::Alone(floor), until).await;
+        match (place, result) {
+            (Some(place), Ok(answered)) if answered.answer.outcome.is_ok() => Ok(place),
+            (_, Ok(answered)) => {
+                let class = answered.answer.error_class();
+                Err(self.note_refusal(&server, class.unwrap_or(ErrorClass::Other)))
+            }
+            (_, Err(Failure::Refused(class))) => Err(self.note_refusal(&server, class)),
+            (_, Err(_)) => Err(NotRun::NoServer),
+        }
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/unit/write.rs
@@ -0,0 +1,73 @@
+//! Writes outside a transaction: sent once, and again only after the server's own promise.
+
+use std::sync::Arc;
+
+use super::attempt::{Answered, Failure, Manner};
+use super::work::Work;
+use super::{Done, NotRun, Unit};
+use crate::ports::{Answer, ErrorClass};
+
+/// Attempts after which a refusing lead's answer is passed on.
+const ATTEMPTS: usize = 3;
+
+impl Unit {
+    /// Runs a write on the lead.
+    pub async fn write(&self, work: &Work) -> Done {
+        let mut refused = NotRun::NoLead;
+        for _ in 0..ATTEMPTS {
+            let place = match self.take_lead(self.times.wait_until).await {
+                Ok(place) => place,
+                Err(reason) => return Done::answer(self.refuse(&work.id, reason)),
+            };
+            let server = Arc::clone(&place.server);
+            let manner = Manner::Alone(None);
+            let (_, result) = self.attempt(place, work, manner, self.times.give_up).await;
+            let class = match result {
+                Ok(Answered { answer, sent_at }) => match answer.error_class() {
+                    None => {
+                        self.group.note_proof(&server, sent_at, answer.position);
+                        let committed = answer.position;
+                        return Done { answer, committed };
+                    }
+                    Some(class) if class.is_not_run() => class,
+                    Some(_) => return Done::answer(answer),
+                },
+                Err(Failure::Refused(class)) => class,
+                Err(Failure::NotSent) => ErrorClass::Misrouted,
+                Err(Failure::Broken | Failure::Silent) => {
+                    let doubt = self.doubt(&work.id, ErrorClass::InDoubt, &server.instance);
+                    return Done::answer(doubt);
+                }
+            };
+            refused = self.note_refusal(&server, class);
+            if self.context.clock.now() >= self.times.wait_until {
+                break;
+            }
+            self.note_retry(&work.id, &server.instance, "refused");
+        }
+        Done::answer(self.refuse(&work.id, refused))
+    }
+
+    /// Takes in a server's promise that a statement did not run there.
+    pub(super) fn note_refusal(&self, server: &crate::server::Server, class: ErrorClass) -> NotRun {
+        let now = self.context.clock.now();
+        match class {
+            ErrorClass::ReadOnly => {
+                self.group.note_denial(server, now);
+                NotRun::NoLead
+            }
+            ErrorClass::Busy | ErrorClass::TooManyConnections => {
+                server.health().avoid(now);
+                NotRun::ServerBusy
+            }
+            ErrorClass::Lagging => NotRun::NoFreshServer,
+            _ => NotRun::NoServer,
+        }
+    }
+}
+
+/// An answer in the words of a session that stands outside a transaction.
+pub(super) fn outside_transaction(mut answer: Answer) -> Answer {
+    answer.state = crate::ports::TransactionState::Idle;
+    answer
+}
--- a/crates/spurpier/src/cli/arguments.rs
+++ b/crates/spurpier/src/cli/arguments.rs
@@ -10,6 +10,8 @@
 pub enum Command {
     /// Run a node.
     Proxy(ProxyArguments),
+    /// Run a node on the platform, before groups that are promoted from outside.
+    Gateway(GatewayArguments),
     /// Work with settings files.
     Settings(SettingsCommand),
     /// Work with policies.
@@ -29,6 +31,13 @@
     pub zone: Option<String>,
 }
 
+/// The arguments of `spurpier gateway`.
+#[derive(Debug, Clone)]
+pub struct GatewayArguments {
+    /// The settings file; the one that the platform has laid without it.
+    pub settings: Option<PathBuf>,
+}
+
 /// The commands under `spurpier settings`.
 #[derive(Debug, Clone)]
 pub enum SettingsCommand {
@@ -95,10 +104,11 @@
 /// The parser of the whole command line.
 pub fn command_line() -> OptionParser<Command> {
     let proxy = proxy_command();
+    let gateway = gateway_command();
     let settings = settings_command();
     let status = status_command();
     let policy = policy_command();
-    construct!([proxy, settings, policy, status])
+    construct!([proxy, gateway, settings, policy, status])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("A database proxy with session consistency for moves between data centres")
@@ -138,6 +148,16 @@
     command("proxy", "Run a node", arguments.map(Command::Proxy))
 }
 
+fn gateway_command() -> impl Parser<Command> {
+    let settings = long("settings")
+        .help("The settings file; the one that the platform has laid without it")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let arguments = construct!(GatewayArguments { settings });
+    let description = "Run a node on the platform, before groups that are promoted from outside";
+    command("gateway", description, arguments.map(Command::Gateway))
+}
+
 fn settings_command() -> impl Parser<Command> {
     let file = positional::<PathBuf>("FILE").help("The settings file");
     let check = command(
--- /dev/null
+++ b/crates/spurpier/src/cli/gateway.rs
@@ -0,0 +1,103 @@
+//! `spurpier gateway`: runs one node on the platform until it is told to stop.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use spurpier_events::log_event;
+use spurpier_pipeline::settings::PipelineSettings;
+use spurpier_pipeline::{Node, NodeParts, Stop, events};
+use spurpier_platform::{
+    Endpoint, HttpMetadataStore, HttpPromotionService, JsonEntries, LineDialect, settings_path,
+};
+use tokio::runtime::Builder;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use super::{EXIT_DONE, GatewayArguments, fail};
+use crate::logging;
+use crate::settings::LogSettings;
+
+pub(super) fn run(arguments: &GatewayArguments) -> u8 {
+    let Some(path) = arguments.settings.clone().or_else(settings_path) else {
+        return fail(&"no settings file is given and the platform has laid none");
+    };
+    let settings = match load(&path) {
+        Ok(settings) => settings,
+        Err(failure) => return fail(&failure),
+    };
+    if let Err(report) = logging::install(&LogSettings::default()) {
+        return fail(&format!("{report:?}"));
+    }
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&error),
+    };
+    match runtime.block_on(run_node(settings, path)) {
+        Ok(()) => EXIT_DONE,
+        Err(failure) => fail(&failure),
+    }
+}
+
+fn load(path: &Path) -> Result<PipelineSettings, String> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| format!("the settings {} cannot be read: {error}", path.display()))?;
+    PipelineSettings::parse(&text).map_err(|error| format!("{}: {error}", path.display()))
+}
+
+async fn run_node(settings: PipelineSettings, path: PathBuf) -> Result<(), String> {
+    let stop = Stop::new();
+    let signals = Signals::install().map_err(|error| error.to_string())?;
+    tokio::spawn(signals.handle(stop.clone(), path));
+    let parts = parts(settings);
+    let ended = Node::run(parts, stop).await;
+    ended.map_err(|report| format!("{report:?}"))
+}
+
+/// Puts the adapter to the platform behind the ports.
+fn parts(settings: PipelineSettings) -> NodeParts {
+    let store = Endpoint::new(settings.platform.store);
+    let promotion = Endpoint::new(settings.platform.promotion);
+    NodeParts {
+        settings,
+        client_dialect: Arc::new(LineDialect),
+        server_dialect: Arc::new(LineDialect),
+        store: Arc::new(HttpMetadataStore::new(store)),
+        entries: Arc::new(JsonEntries),
+        promotions: Arc::new(HttpPromotionService::new(promotion)),
+    }
+}
+
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    fn install() -> std::io::Result<Self> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Stops the node on SIGTERM and SIGINT; reads the settings again on SIGHUP.
+    async fn handle(mut self, stop: Stop, path: PathBuf) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => stop.cancel(),
+                _ = self.interrupt.recv() => stop.cancel(),
+                _ = self.hang_up.recv() => reread(&path),
+            }
+        }
+    }
+}
+
+/// The settings that a running node could take anew are all learnt from the store; the file is
+/// only checked, so that a fault shows before the next start.
+fn reread(path: &Path) {
+    match load(path) {
+        Ok(_) => log_event!(events::SETTINGS_REREAD, file = path.display()),
+        Err(error) => log_event!(events::SETTINGS_REFUSED, error = error),
+    }
+}
--- a/crates/spurpier/src/cli/mod.rs
+++ b/crates/spurpier/src/cli/mod.rs
@@ -3,6 +3,7 @@
 //! Every command ends with one of three exit codes: 0 done, 1 failed, 2 bad usage.
 
 mod arguments;
+mod gateway;
 mod policy;
 mod proxy;
 mod settings;
@@ -15,8 +16,8 @@
 use bpaf::{Args, ParseFailure};
 
 pub use arguments::{
-    Command, PlatformSource, PolicyCommand, ProxyArguments, SettingsCommand, StatusArguments,
-    command_line,
+    Command, GatewayArguments, PlatformSource, PolicyCommand, ProxyArguments, SettingsCommand,
+    StatusArguments, command_line,
 };
 
 /// The command did what was asked.
@@ -37,6 +38,7 @@
     };
     let code = match command {
         Command::Proxy(arguments) => proxy::run(&arguments),
+        Command::Gateway(arguments) => gateway::run(&arguments),
         Command::Settings(command) => settings::run(&command),
         Command::Policy(command) => policy::run(&command),
         Command::Status(arguments) => status::run(&arguments),
--- a/crates/spurpier/src/lib.rs
+++ b/crates/spurpier/src/lib.rs
@@ -12,3 +12,5 @@
 pub mod policy;
 pub mod settings;
 pub mod unit_runner;
+
+pub use spurpier_events::{declare_events, log_event};
--- a/crates/spurpier/tests/catalogue.rs
+++ b/crates/spurpier/tests/catalogue.rs
@@ -16,6 +16,7 @@
     ("home", events::home::EVENTS, 3000..=3999),
     ("policy", events::policy::EVENTS, 4000..=4999),
     ("cluster", events::cluster::EVENTS, 5000..=5999),
+    ("pipeline", spurpier_pipeline::events::EVENTS, 6000..=6999),
 ];
 
 /// The table of the events as the page must have it.
--- a/crates/spurpier/tests/command_line.rs
+++ b/crates/spurpier/tests/command_line.rs
@@ -10,6 +10,7 @@
 const COMMANDS: &[&[&str]] = &[
     &[],
     &["proxy"],
+    &["gateway"],
     &["settings"],
     &["settings", "check"],
     &["settings", "template"],
