--- a/crates/spurpier-pipeline/src/follow.rs
+++ b/crates/spurpier-pipeline/src/follow.rs
@@ -14,10 +14,11 @@
 
 /// How long a whole read may take.
 const READ_LIMIT: Duration = Duration::from_millis(1_500);
-/// How long one wait for changes lasts at most.
-const CHANGES_WAIT: Duration = Duration::from_secs(20);
+/// How long one wait for changes lasts at most. A connection whose answers are lost stays silent,
+/// so that wait and slack together bound how late a change is taken in.
+const CHANGES_WAIT: Duration = Duration::from_millis(1_800);
 /// How much longer than its wait a call for changes may take.
-const CHANGES_SLACK: Duration = Duration::from_millis(1_500);
+const CHANGES_SLACK: Duration = Duration::from_millis(600);
 /// The pauses after failed calls.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
