Replace lost and leaving primaries by one holder of the duty; bound a drain's statements

Now a node that misses the primary asks the others over UDP, the holder of one conditional row decides under a new token each time, and a leaving primary steps down before its successor takes over. 2. At half of the grace sessions now take no more.

--- a/crates/spurpier-core/src/time.rs
+++ b/crates/spurpier-core/src/time.rs
@@ -28,6 +28,12 @@
         self.0
     }
 
+    /// The point that lies `duration` earlier; the origin if that is later.
+    pub fn before(self, duration: Duration) -> Timestamp {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Timestamp(self.0.saturating_sub(micros))
+    }
+
     /// The time from `earlier` to this point; zero when `earlier` lies later.
     pub fn since(self, earlier: Timestamp) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use spurpier_core::lead::Distance;
+use spurpier_core::time::Timestamp;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -15,6 +16,9 @@
 use crate::ports::{ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect};
 use crate::settings::PipelineSettings;
 
+/// How old the store's last answer may be at a node that says it can hold the duty.
+const STORE_VALIDITY: Duration = Duration::from_millis(3_000);
+
 /// What all sessions and tasks of a node share.
 pub struct Context {
     /// The node's settings.
@@ -39,10 +43,14 @@
     pub nodes: AtomicUsize,
     /// The other nodes' internal addresses by name.
     pub peers: Mutex<HashMap<String, std::net::SocketAddr>>,
+    /// When the store last answered.
+    pub store_answered_at: Mutex<Timestamp>,
     /// Whether the servers have been read once.
     pub directory_known: watch::Sender<bool>,
     /// Cancelled when the drain begins.
     pub draining: CancellationToken,
+    /// Cancelled when sessions take no further statement and open transactions are ended.
+    pub closing: CancellationToken,
 }
 
 impl Context {
@@ -80,6 +88,21 @@
         }
     }
 
+    /// Takes in that the store has answered.
+    pub fn note_store_answer(&self) {
+        let now = self.clock.now();
+        let answered_at = &self.store_answered_at;
+        *answered_at.lock().unwrap_or_else(PoisonError::into_inner) = now;
+    }
+
+    /// Whether this node reaches the store and goes on running.
+    pub fn can_hold_duty(&self) -> bool {
+        let answered_at = &self.store_answered_at;
+        let answered_at = *answered_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let age = self.clock.now().since(answered_at);
+        !self.draining.is_cancelled() && age < STORE_VALIDITY
+    }
+
     /// For how long a leaving server may still be given work as its group's lead.
     pub fn leaving_use(&self) -> Duration {
         Duration::from_millis(self.settings.bounds.server_drain_ms) * 3 / 4
--- /dev/null
+++ b/crates/spurpier-pipeline/src/duty/messages.rs
@@ -0,0 +1,52 @@
+//! What nodes say to each other, over UDP.
+
+use std::time::Duration;
+
+use nanoserde::{DeBin, SerBin};
+
+/// Says that no proof of lead is known.
+const NEVER: u32 = u32::MAX;
+
+/// A message from one node to another.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub enum PeerMessage {
+    /// Asks what the receiver sees of a group's primary.
+    AskSight {
+        /// The question's number at the sender.
+        number: u64,
+        /// The group.
+        group: String,
+    },
+    /// Answers `AskSight`.
+    Sight {
+        /// The question's number.
+        number: u64,
+        /// How long ago the message left that proved the lead last, in milliseconds; the
+        /// greatest number if none is known.
+        proven_ago_ms: u32,
+    },
+    /// Tells the holder of the duty that a group needs a decision.
+    Wanted {
+        /// The question's number at the sender.
+        number: u64,
+        /// The group.
+        group: String,
+    },
+    /// Answers `Wanted`: the receiver of it holds the duty and sees to the group.
+    Heard {
+        /// The question's number.
+        number: u64,
+    },
+}
+
+/// A time as a message carries it.
+pub fn encode_ago(ago: Option<Duration>) -> u32 {
+    ago.map_or(NEVER, |ago| {
+        u32::try_from(ago.as_millis()).unwrap_or(NEVER - 1)
+    })
+}
+
+/// The time that a message carries.
+pub fn decode_ago(millis: u32) -> Option<Duration> {
+    (millis != NEVER).then(|| Duration::from_millis(u64::from(millis)))
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/duty/mod.rs
@@ -0,0 +1,10 @@
+//! Replacing a primary that is lost or leaves: seeing it, agreeing on it, and ordering it.
+
+mod holder;
+mod messages;
+mod peers;
+mod successor;
+mod watch;
+
+pub use self::peers::Peers;
+pub use self::watch::watch_groups;
--- /dev/null
+++ b/crates/spurpier-pipeline/src/duty/peers.rs
@@ -0,0 +1,222 @@
+//! Questions to other nodes and the answers to theirs, over UDP.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use nanoserde::{DeBin, SerBin};
+use spurpier_core::lead::Sight;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+
+use super::messages::{PeerMessage, decode_ago, encode_ago};
+use crate::context::Context;
+use crate::unit::renew_proof;
+
+/// The greatest datagram that is taken, in bytes.
+const MAX_DATAGRAM: usize = 1_200;
+/// A proof younger than this is told without asking the lead again.
+const FRESH_PROOF: Duration = Duration::from_millis(250);
+/// How long a node that is asked may ask the lead.
+const PROVING_LIMIT: Duration = Duration::from_millis(300);
+/// How long answers are awaited.
+const ANSWER_LIMIT: Duration = Duration::from_millis(420);
+/// How often a question is sent within that time: datagrams are lost now and then.
+const ASK_AGAIN: Duration = Duration::from_millis(140);
+/// Answers of one question that may wait to be read.
+const ANSWER_CAPACITY: usize = 64;
+
+type Answers = mpsc::Receiver<(SocketAddr, PeerMessage)>;
+
+/// The way to the other nodes.
+pub struct Peers {
+    context: Arc<Context>,
+    socket: UdpSocket,
+    next_number: AtomicU64,
+    awaited: Mutex<HashMap<u64, mpsc::Sender<(SocketAddr, PeerMessage)>>>,
+    /// Groups that other nodes want this node to see to.
+    wanted: mpsc::Sender<String>,
+}
+
+impl Peers {
+    /// Speaks over a bound socket; groups that others want seen to go to `wanted`.
+    pub fn new(
+        context: Arc<Context>,
+        socket: UdpSocket,
+        wanted: mpsc::Sender<String>,
+    ) -> Arc<Self> {
+        Arc::new(Peers {
+            context,
+            socket,
+            next_number: AtomicU64::new(1),
+            awaited: Mutex::default(),
+            wanted,
+        })
+    }
+
+    /// Takes messages; never returns.
+    pub async fn receive(self: Arc<Self>) {
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        loop {
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
+                // The socket tells that an earlier datagram could not be delivered.
+                tokio::task::yield_now().await;
+                continue;
+            };
+            if let Ok(message) = PeerMessage::deserialize_bin(&buffer[..length]) {
+                self.take(message, from).await;
+            }
+        }
+    }
+
+    async fn take(self: &Arc<Self>, message: PeerMessage, from: SocketAddr) {
+        match message {
+            PeerMessage::AskSight { number, group } => {
+                tokio::spawn(Arc::clone(self).answer_sight(number, group, from));
+            }
+            PeerMessage::Wanted { number, group } => {
+                if self.context.can_hold_duty() && self.wanted.try_send(group).is_ok() {
+                    self.send(&PeerMessage::Heard { number }, from).await;
+                }
+            }
+            PeerMessage::Sight { number, .. } | PeerMessage::Heard { number } => {
+                let awaited = self.awaited.lock().unwrap_or_else(PoisonError::into_inner);
+                if let Some(sender) = awaited.get(&number) {
+                    // An answer beyond the capacity is a repeated one.
+                    let _ = sender.try_send((from, message));
+                }
+            }
+        }
+    }
+
+    async fn answer_sight(self: Arc<Self>, number: u64, group: String, from: SocketAddr) {
+        let group = self.context.group(&group);
+        let clock = &self.context.clock;
+        let asked_at = clock.now();
+        let fresh_since = asked_at.before(FRESH_PROOF);
+        let until = asked_at + PROVING_LIMIT;
+        // Without a proof the older one is told.
+        let _ = renew_proof(&self.context, &group, fresh_since, until).await;
+        let now = clock.now();
+        let proven_ago = group.proven_at().map(|proven| now.since(proven));
+        let proven_ago_ms = encode_ago(proven_ago);
+        let answer = PeerMessage::Sight {
+            number,
+            proven_ago_ms,
+        };
+        self.send(&answer, from).await;
+    }
+
+    async fn send(&self, message: &PeerMessage, to: SocketAddr) {
+        // A datagram that cannot be sent is as good as a lost one.
+        let _ = self.socket.send_to(&message.serialize_bin(), to).await;
+    }
+
+    /// What the other nodes see of a group's primary, and how many were asked.
+    pub async fn sights(&self, group: &str) -> (Vec<Sight>, usize) {
+        let addresses = self.others();
+        let question = |number| PeerMessage::AskSight {
+            number,
+            group: group.to_owned(),
+        };
+        let answers = self.ask(question, &addresses).await;
+        let sights = answers.into_values().filter_map(|answer| match answer {
+            PeerMessage::Sight { proven_ago_ms, .. } => Some(Sight {
+                proven_ago: decode_ago(proven_ago_ms),
+            }),
+            _ => None,
+        });
+        (sights.collect(), addresses.len())
+    }
+
+    /// Whether the holder of the duty answers that it sees to a group.
+    pub async fn tell_holder(&self, holder: &str, group: &str) -> bool {
+        let address = {
+            let peers = &self.context.peers;
+            let peers = peers.lock().unwrap_or_else(PoisonError::into_inner);
+            peers.get(holder).copied()
+        };
+        let question = |number| PeerMessage::Wanted {
+            number,
+            group: group.to_owned(),
+        };
+        match address {
+            Some(address) => !self.ask(question, &[address]).await.is_empty(),
+            None => false,
+        }
+    }
+
+    fn others(&self) -> Vec<SocketAddr> {
+        let own = &self.context.settings.node.name;
+        let peers = &self.context.peers;
+        let peers = peers.lock().unwrap_or_else(PoisonError::into_inner);
+        let others = peers.iter().filter(|(name, _)| *name != own);
+        others.map(|(_, address)| *address).collect()
+    }
+
+    /// Sends a question until all have answered or the time is over.
+    async fn ask(
+        &self,
+        question: impl FnOnce(u64) -> PeerMessage,
+        addresses: &[SocketAddr],
+    ) -> HashMap<SocketAddr, PeerMessage> {
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let question = question(number);
+        let (sender, mut receiver) = mpsc::channel(ANSWER_CAPACITY);
+        let _awaited = Awaited::new(self, number, sender);
+        let mut answers = HashMap::new();
+        let end = Instant::now() + ANSWER_LIMIT;
+        while answers.len() < addresses.len() && Instant::now() < end {
+            for address in addresses {
+                if !answers.contains_key(address) {
+                    self.send(&question, *address).await;
+                }
+            }
+            let round_end = end.min(Instant::now() + ASK_AGAIN);
+            collect(&mut receiver, &mut answers, addresses.len(), round_end).await;
+        }
+        answers
+    }
+}
+
+async fn collect(
+    receiver: &mut Answers,
+    answers: &mut HashMap<SocketAddr, PeerMessage>,
+    wanted: usize,
+    end: Instant,
+) {
+    while answers.len() < wanted {
+        match timeout_at(end, receiver.recv()).await {
+            Ok(Some((from, answer))) => {
+                answers.insert(from, answer);
+            }
+            Ok(None) | Err(_) => return,
+        }
+    }
+}
+
+/// A question whose answers are awaited; forgotten when dropped.
+struct Awaited<'a> {
+    peers: &'a Peers,
+    number: u64,
+}
+
+impl<'a> Awaited<'a> {
+    fn new(peers: &'a Peers, number: u64, sender: mpsc::Sender<(SocketAddr, PeerMessage)>) -> Self {
+        let awaited = &peers.awaited;
+        let mut awaited = awaited.lock().unwrap_or_else(PoisonError::into_inner);
+        awaited.insert(number, sender);
+        Awaited { peers, number }
+    }
+}
+
+impl Drop for Awaited<'_> {
+    fn drop(&mut self) {
+        let awaited = &self.peers.awaited;
+        let mut awaited = awaited.lock().unwrap_or_else(PoisonError::into_inner);
+        awaited.remove(&self.number);
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -0,0 +1,275 @@
+//! Looking after the groups' primaries.
+
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use spurpier_core::lead::{DutyStep, DutyView, Missing, Verdict, judge, next_step};
+use spurpier_core::time::Timestamp;
+use spurpier_events::log_event;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use super::holder::{KnownDuty, read_duty, take_token};
+use super::peers::Peers;
+use super::successor::{hand_over, replace_lost};
+use crate::context::Context;
+use crate::events;
+use crate::group::Group;
+use crate::ports::PromotionAnswer;
+use crate::server::Server;
+use crate::unit::renew_proof;
+
+/// How often the groups are looked at.
+const TICK: Duration = Duration::from_millis(150);
+/// How long the lead may take to prove itself to the watch.
+const PROVING_LIMIT: Duration = Duration::from_millis(350);
+/// For how long all proofs must have failed before others are asked.
+const PATIENCE: Duration = Duration::from_millis(450);
+/// The pause between two looks of a case.
+const CASE_PAUSE: Duration = Duration::from_millis(120);
+/// How long a new primary may take to lead after its order was taken.
+const TAKE_OVER_LIMIT: Duration = Duration::from_millis(2_500);
+/// After how long without a change a case is closed although the holder answers.
+const HOLDER_LIMIT: Duration = Duration::from_secs(4);
+
+/// Looks after all groups; never returns.
+pub async fn watch_groups(
+    context: Arc<Context>,
+    peers: Arc<Peers>,
+    mut wanted: mpsc::Receiver<String>,
+) {
+    let open = Arc::new(OpenCases::default());
+    loop {
+        // A group that another node wants seen to is looked at at once.
+        if let Ok(Some(name)) = timeout(TICK, wanted.recv()).await {
+            let group = context.group(&name);
+            open.start(&context, &peers, group);
+            continue;
+        }
+        for group in context.all_groups() {
+            if is_in_doubt(&context, &group) {
+                open.start(&context, &peers, group);
+            }
+        }
+    }
+}
+
+/// Whether a group may need a new primary.
+fn is_in_doubt(context: &Context, group: &Group) -> bool {
+    let Some(lead) = group.lead() else {
+        return !group.servers().is_empty() && *context.directory_known.borrow();
+    };
+    if !lead.is_staying() {
+        return true;
+    }
+    lead.health().silences > 0
+}
+
+/// The groups that are being seen to.
+#[derive(Default)]
+struct OpenCases(Mutex<HashSet<String>>);
+
+impl OpenCases {
+    fn start(self: &Arc<Self>, context: &Arc<Context>, peers: &Arc<Peers>, group: Arc<Group>) {
+        let mut open = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if !open.insert(group.name.clone()) {
+            return;
+        }
+        let case = Case {
+            context: Arc::clone(context),
+            peers: Arc::clone(peers),
+            group,
+            missing_since: None,
+            holder: None,
+        };
+        let cases = Arc::clone(self);
+        tokio::spawn(async move {
+            let name = case.group.name.clone();
+            case.run().await;
+            let mut open = cases.0.lock().unwrap_or_else(PoisonError::into_inner);
+            open.remove(&name);
+        });
+    }
+}
+
+/// What a group needs.
+enum Need {
+    /// Nothing.
+    Nothing,
+    /// More looks.
+    Patience,
+    /// A successor of a primary that leaves.
+    HandOver(Arc<Server>),
+    /// A successor of a primary that is lost.
+    Replacement(Option<Arc<Server>>),
+}
+
+/// What the holder of the duty has said to this node's asking.
+struct HolderPatience {
+    duty: KnownDuty,
+    first_asked: Timestamp,
+    last_heard: Timestamp,
+}
+
+/// One group that may need a new primary.
+struct Case {
+    context: Arc<Context>,
+    peers: Arc<Peers>,
+    group: Arc<Group>,
+    missing_since: Option<Timestamp>,
+    holder: Option<HolderPatience>,
+}
+
+impl Case {
+    async fn run(mut self) {
+        loop {
+            match self.assess().await {
+                Need::Nothing => return,
+                Need::Patience => {}
+                Need::HandOver(former) => self.see_to(Some(former), true).await,
+                Need::Replacement(former) => self.see_to(former, false).await,
+            }
+            tokio::time::sleep(CASE_PAUSE).await;
+        }
+    }
+
+    async fn assess(&mut self) -> Need {
+        let clock = &self.context.clock;
+        let started = clock.now();
+        let until = started + PROVING_LIMIT;
+        let proven = renew_proof(&self.context, &self.group, started, until).await;
+        let lead = self.group.lead();
+        if proven.is_ok() {
+            self.missing_since = None;
+            return match lead {
+                Some(lead) if !lead.is_staying() => Need::HandOver(lead),
+                _ => Need::Nothing,
+            };
+        }
+        if self.group.servers().is_empty() {
+            return Need::Nothing;
+        }
+        let missing_since = *self.missing_since.get_or_insert(started);
+        let missing_for = clock.now().since(missing_since);
+        if missing_for < PATIENCE {
+            return Need::Patience;
+        }
+        let claimant = self.claimant();
+        let (peers, asked) = self.peers.sights(&self.group.name).await;
+        let missing = Missing {
+            missing_for,
+            peers,
+            asked,
+            listed: claimant.is_some(),
+        };
+        if judge(&missing, PATIENCE) == Verdict::Keep {
+            return Need::Patience;
+        }
+        log_event!(
+            events::PRIMARY_SUSPECTED,
+            group = self.group.name,
+            server = lead_name(claimant.as_deref()),
+            missing_ms = missing_for.as_millis(),
+            peers = missing.peers.len(),
+            asked = missing.asked
+        );
+        Need::Replacement(claimant)
+    }
+
+    /// The server that leads, or that says so, as far as is known.
+    fn claimant(&self) -> Option<Arc<Server>> {
+        self.group.lead().or_else(|| {
+            let servers = self.group.servers().into_iter();
+            let claiming = servers.filter(|server| server.claims_lead() && !server.is_gone());
+            claiming.max_by_key(|server| server.listing().version)
+        })
+    }
+
+    /// Decides if this node holds the duty or must take it over; otherwise tells its holder.
+    async fn see_to(&mut self, former: Option<Arc<Server>>, planned: bool) {
+        let Some(duty) = read_duty(&self.context).await else {
+            return;
+        };
+        let own_name = self.context.settings.node.name.clone();
+        let unanswered_for = self.unanswered_for(&duty);
+        let view = DutyView {
+            row: duty.row.as_ref(),
+            unanswered_for,
+        };
+        match next_step(&view, &own_name) {
+            DutyStep::Decide => self.decide(&duty, former, planned).await,
+            DutyStep::AskHolder => self.ask_holder(&duty).await,
+        }
+    }
+
+    /// For how long the holder of this very row has left this node without an answer.
+    fn unanswered_for(&mut self, duty: &KnownDuty) -> Duration {
+        let now = self.context.clock.now();
+        match &self.holder {
+            Some(patience) if patience.duty == *duty => {
+                if now.since(patience.first_asked) > HOLDER_LIMIT {
+                    return HOLDER_LIMIT;
+                }
+                now.since(patience.last_heard)
+            }
+            _ => {
+                self.holder = Some(HolderPatience {
+                    duty: duty.clone(),
+                    first_asked: now,
+                    last_heard: now,
+                });
+                Duration::ZERO
+            }
+        }
+    }
+
+    async fn ask_holder(&mut self, duty: &KnownDuty) {
+        let Some(row) = &duty.row else {
+            return;
+        };
+        let heard = self.peers.tell_holder(&row.holder, &self.group.name).await;
+        if let Some(patience) = self.holder.as_mut().filter(|_| heard) {
+            patience.last_heard = self.context.clock.now();
+        }
+    }
+
+    async fn decide(&mut self, duty: &KnownDuty, former: Option<Arc<Server>>, planned: bool) {
+        let Some(token) = take_token(&self.context, duty).await else {
+            return;
+        };
+        let (context, group) = (&self.context, &self.group);
+        let ordered = match &former {
+            Some(former) if planned => hand_over(context, group, former, token).await,
+            _ => replace_lost(context, group, former.as_deref(), token).await,
+        };
+        match ordered {
+            Some(Ok(PromotionAnswer::Refused)) | None => {}
+            // An order without an answer may be carried out all the same.
+            Some(_) => self.await_take_over(former.as_deref()).await,
+        }
+    }
+
+    /// Waits until another server than the former primary has proved the lead.
+    async fn await_take_over(&mut self, former: Option<&Server>) {
+        let former = former.map(|server| server.instance.clone());
+        let waiting = async {
+            loop {
+                let since = self.context.clock.now();
+                let until = since + PROVING_LIMIT;
+                let proven = renew_proof(&self.context, &self.group, since, until).await;
+                let lead = self.group.lead().map(|lead| lead.instance.clone());
+                if proven.is_ok() && lead != former {
+                    return;
+                }
+                tokio::time::sleep(CASE_PAUSE / 2).await;
+            }
+        };
+        // If the time passes, the case looks at the group anew.
+        let _ = timeout(TAKE_OVER_LIMIT, waiting).await;
+    }
+}
+
+fn lead_name(server: Option<&Server>) -> &str {
+    server.map_or("none", |server| server.instance.as_str())
+}
--- a/crates/spurpier-pipeline/src/follow.rs
+++ b/crates/spurpier-pipeline/src/follow.rs
@@ -111,6 +111,7 @@
     }
 
     fn note_answer(&mut self) {
+        self.context.note_store_answer();
         self.backoff.reset();
         if std::mem::take(&mut self.lost) {
             log_event!(events::STORE_REGAINED, table = format!("{:?}", self.table));
--- a/crates/spurpier-pipeline/src/lib.rs
+++ b/crates/spurpier-pipeline/src/lib.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod context;
 mod directory;
+mod duty;
 pub mod events;
 mod follow;
 mod group;
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -8,15 +8,16 @@
 
 use error_stack::{Report, ResultExt};
 use spurpier_events::log_event;
-use tokio::net::TcpListener;
-use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
 use crate::context::Context;
 use crate::directory::{ConfigurationSink, ServerSink};
+use crate::duty::{Peers, watch_groups};
 use crate::events;
 use crate::follow::follow;
 use crate::membership::{NodeSink, list_self, unlist_self};
@@ -34,6 +35,11 @@
 /// How long taking the node off the list may take at its end.
 const UNLIST_LIMIT: Duration = Duration::from_millis(300);
 
+/// How many nodes share the connections until the list of nodes has been read.
+const UNKNOWN_NODES: usize = 12;
+/// Groups that other nodes want seen to and that were not looked at yet.
+const WANTED_CAPACITY: usize = 64;
+
 /// Why a node could not start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NodeError {
@@ -83,8 +89,10 @@
     pub async fn run(parts: NodeParts, stop: Stop) -> Result<(), Report<NodeError>> {
         let client_listener = bind(parts.settings.listen.client).await?;
         let ready_listener = bind(parts.settings.listen.ready).await?;
+        let peer_socket = bind_datagrams(parts.settings.listen.internal).await?;
         let context = Arc::new(Context::new(parts));
         start_tasks(&context, ready_listener);
+        start_duty(&context, peer_socket);
         log_event!(
             events::NODE_STARTED,
             node = context.settings.node.name,
@@ -106,6 +114,11 @@
     bound.change_context(NodeError::Bind(address))
 }
 
+async fn bind_datagrams(address: SocketAddr) -> Result<UdpSocket, Report<NodeError>> {
+    let bound = UdpSocket::bind(address).await;
+    bound.change_context(NodeError::Bind(address))
+}
+
 impl Context {
     fn new(parts: NodeParts) -> Self {
         Context {
@@ -118,10 +131,12 @@
             promotions: parts.promotions,
             configuration: watch::Sender::new(None),
             groups: Mutex::default(),
-            nodes: AtomicUsize::new(1),
+            nodes: AtomicUsize::new(UNKNOWN_NODES),
             peers: Mutex::default(),
+            store_answered_at: Mutex::default(),
             directory_known: watch::Sender::new(false),
             draining: CancellationToken::new(),
+            closing: CancellationToken::new(),
         }
     }
 }
@@ -139,6 +154,13 @@
     tokio::spawn(list_self(shared(), internal));
 }
 
+fn start_duty(context: &Arc<Context>, socket: UdpSocket) {
+    let (sender, wanted) = mpsc::channel(WANTED_CAPACITY);
+    let peers = Peers::new(Arc::clone(context), socket, sender);
+    tokio::spawn(Arc::clone(&peers).receive());
+    tokio::spawn(watch_groups(Arc::clone(context), peers, wanted));
+}
+
 /// Takes clients; never returns.
 async fn accept(context: &Arc<Context>, listener: &TcpListener, sessions: &TaskTracker) {
     loop {
@@ -153,19 +175,25 @@
 
 /// Is not ready, takes clients until the load balancer has seen it, and lets sessions end.
 ///
-/// Open transactions have half of the grace to end.
+/// In the first half of the grace, quiet sessions are closed and the others go on. At the half,
+/// no further statement is taken and open transactions are ended; what runs then has most of the
+/// second half to be answered.
 async fn drain(context: &Arc<Context>, listener: TcpListener, sessions: &TaskTracker) {
     log_event!(events::NODE_DRAINING, sessions = sessions.len());
     context.draining.cancel();
+    let started = Instant::now();
     let grace = Duration::from_millis(context.settings.bounds.grace_ms);
-    let accept_on = ACCEPT_ON.min(grace / 2);
+    let accept_on = ACCEPT_ON.min(grace * 2 / 5);
     // It ends by the time alone.
     let _ = timeout(accept_on, accept(context, &listener, sessions)).await;
     drop(listener);
     sessions.close();
-    let left = (grace * 3 / 4).saturating_sub(accept_on);
-    // Sessions that are still open then are cut by the end of the process.
-    let _ = timeout(left, sessions.wait()).await;
+    let half = timeout_at(started + grace / 2, sessions.wait()).await;
+    if half.is_err() {
+        context.closing.cancel();
+        // Sessions that are still open then are cut by the end of the process.
+        let _ = timeout_at(started + grace * 9 / 10, sessions.wait()).await;
+    }
     let _ = timeout(UNLIST_LIMIT, unlist_self(context)).await;
     log_event!(events::NODE_DRAINED, cut = sessions.len());
 }
--- a/crates/spurpier-pipeline/src/server/connection.rs
+++ b/crates/spurpier-pipeline/src/server/connection.rs
@@ -118,11 +118,6 @@
         Ok(())
     }
 
-    /// The state that the last answer told.
-    pub fn state(&self) -> TransactionState {
-        self.state
-    }
-
     /// Whether it can carry another session's work: no answer is awaited, no transaction is open.
     pub fn is_reusable(&self) -> bool {
         !self.busy && self.state == TransactionState::Idle
--- a/crates/spurpier-pipeline/src/server/mod.rs
+++ b/crates/spurpier-pipeline/src/server/mod.rs
@@ -71,6 +71,11 @@
         self.listing().leaving_since.is_none()
     }
 
+    /// Whether the directory has dropped it.
+    pub fn is_gone(&self) -> bool {
+        self.listing().gone
+    }
+
     /// Whether it says that it leads the group.
     pub fn claims_lead(&self) -> bool {
         self.listing().entry.role == ServerRole::Primary
--- a/crates/spurpier-pipeline/src/server/pool.rs
+++ b/crates/spurpier-pipeline/src/server/pool.rs
@@ -41,7 +41,6 @@
     limit: usize,
     waiting: usize,
     opening: usize,
-    opened: u64,
     /// The newest connection that could not be opened.
     failure: Option<(Timestamp, OpenError)>,
 }
@@ -74,28 +73,12 @@
                 limit,
                 waiting: 0,
                 opening: 0,
-                opened: 0,
                 failure: None,
             }),
             freed: Notify::new(),
         })
     }
 
-    /// The address that the pool connects to.
-    pub fn address(&self) -> SocketAddr {
-        self.target.address
-    }
-
-    /// How many connections have been opened.
-    pub fn opened(&self) -> u64 {
-        self.lock().opened
-    }
-
-    /// How many connections are open or being opened.
-    pub fn total(&self) -> usize {
-        self.lock().total
-    }
-
     /// Changes this node's share of the server's connections.
     pub fn set_limit(&self, limit: usize) {
         let surplus = {
@@ -185,7 +168,6 @@
         wanted.then(|| {
             inner.total += 1;
             inner.opening += 1;
-            inner.opened += 1;
             Opening {
                 pool: Arc::clone(self),
                 connection: None,
@@ -299,11 +281,6 @@
     pub fn connection(&mut self) -> Option<&mut ServerConnection> {
         self.connection.as_mut()
     }
-
-    /// Closes the connection.
-    pub fn close(mut self) {
-        self.connection = None;
-    }
 }
 
 impl Drop for Lease {
--- a/crates/spurpier-pipeline/src/session/mod.rs
+++ b/crates/spurpier-pipeline/src/session/mod.rs
@@ -135,6 +135,7 @@
         let expiry = session.transaction_expiry();
         tokio::select! {
             biased;
+            () = context.closing.cancelled() => return Next::Ended(Ended::Closed),
             received = connection.receive() => return match received {
                 Received::Message(ClientMessage::Request(request)) => Next::Request(request),
                 Received::Message(ClientMessage::StartUp { .. }) | Received::Violation => {
--- a/crates/spurpier-pipeline/src/unit/attempt.rs
+++ b/crates/spurpier-pipeline/src/unit/attempt.rs
@@ -63,7 +63,7 @@
     pub server: Arc<Server>,
     /// The connection.
     pub lease: Lease,
-    in_flight: InFlight,
+    _in_flight: InFlight,
 }
 
 impl Place {
@@ -73,7 +73,7 @@
         Place {
             server,
             lease,
-            in_flight,
+            _in_flight: in_flight,
         }
     }
 
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -19,6 +19,8 @@
 use spurpier_core::position::Position;
 use spurpier_events::log_event;
 
+pub use self::attempt::{Place, own_attempt};
+pub use self::lead::renew_proof;
 pub use self::times::Times;
 pub use self::transaction::OpenTransaction;
 pub use self::work::{PreparedUse, Work};
--- a/crates/spurpier-pipeline/src/unit/read.rs
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -135,7 +135,7 @@
     /// The position that the unit's reads must find.
     pub(super) async fn floor(&self) -> Result<Position, NotRun> {
         let staleness = self.route.freshness.staleness();
-        let since = before(self.times.arrived, staleness);
+        let since = self.times.arrived.before(staleness);
         loop {
             if let Some(floor) = self.group.read_floor(since, self.own_commit) {
                 self.renew_ahead(staleness);
@@ -210,12 +210,6 @@
     }
 }
 
-/// A moment so long before another one.
-fn before(moment: Timestamp, duration: Duration) -> Timestamp {
-    let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
-    Timestamp::from_micros(moment.as_micros().saturating_sub(micros))
-}
-
 /// A floor as a statement carries it; the start of the log needs none.
 pub(super) fn after(floor: Position) -> Option<Position> {
     (floor != Position::ZERO).then_some(floor)
