--- /dev/null
+++ b/crates/spurpier-core/tests/lead.rs
@@ -0,0 +1,268 @@
+//! Evidence of lead, the choice of servers, and who decides on a new primary.
+
+use std::time::Duration;
+
+use spurpier_core::lead::{
+    Candidate, Distance, DutyRow, DutyStep, DutyView, LeadEvidence, Missing, OwnCommit, Proof,
+    ServerLoad, Sight, Verdict, choose_read_server, choose_successor, judge, next_step, read_floor,
+};
+use spurpier_core::position::Position;
+use spurpier_core::time::Timestamp;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn proof(sent_ms: u64, term: u64, offset: u64) -> Proof {
+    Proof {
+        sent_at: at(sent_ms),
+        position: Position::new(term, offset),
+    }
+}
+
+fn evidence(proofs: &[Proof]) -> LeadEvidence {
+    let mut evidence = LeadEvidence::default();
+    for proof in proofs {
+        evidence.record(*proof);
+    }
+    evidence
+}
+
+#[test]
+fn a_read_takes_the_oldest_proof_that_is_new_enough() {
+    let evidence = evidence(&[proof(100, 1, 5), proof(200, 1, 8), proof(300, 1, 9)]);
+    let floor = |since| read_floor(&evidence, at(since), None);
+    assert_eq!(floor(50), Some(Position::new(1, 5)));
+    assert_eq!(floor(150), Some(Position::new(1, 8)));
+    assert_eq!(floor(300), Some(Position::new(1, 9)));
+    assert_eq!(floor(301), None, "no proof was sent late enough");
+}
+
+#[test]
+fn a_late_answer_to_an_early_message_is_no_newer_proof() {
+    let mut evidence = evidence(&[proof(200, 1, 8)]);
+    evidence.record(proof(100, 1, 9));
+    assert_eq!(read_floor(&evidence, at(201), None), None);
+    assert_eq!(
+        read_floor(&evidence, at(100), None),
+        Some(Position::new(1, 8))
+    );
+}
+
+#[test]
+fn proofs_that_stand_close_together_keep_the_first_and_the_last() {
+    let close: Vec<Proof> = (0..20)
+        .map(|step| proof(100 + step, 1, 10 + step))
+        .collect();
+    let evidence = evidence(&close);
+    assert_eq!(evidence.newest(), Some(proof(119, 1, 29)));
+    assert_eq!(evidence.covering(at(90)), Some(proof(100, 1, 10)));
+    assert_eq!(evidence.covering(at(119)), Some(proof(119, 1, 29)));
+}
+
+#[test]
+fn many_proofs_do_not_grow_without_bound() {
+    let mut evidence = LeadEvidence::default();
+    for step in 0..10_000 {
+        evidence.record(proof(step * 50, 1, step));
+    }
+    let oldest = evidence.covering(Timestamp::ZERO).expect("some are kept");
+    assert!(oldest.sent_at > at(400_000), "old proofs are dropped");
+}
+
+#[test]
+fn a_session_finds_its_own_commit() {
+    let evidence = evidence(&[proof(100, 1, 5)]);
+    let own = |offset, acknowledged_ms| {
+        Some(OwnCommit {
+            position: Position::new(1, offset),
+            acknowledged_at: at(acknowledged_ms),
+        })
+    };
+    let floor = |own| read_floor(&evidence, at(50), own);
+    assert_eq!(floor(own(7, 150)), Some(Position::new(1, 7)));
+    assert_eq!(floor(own(3, 150)), Some(Position::new(1, 5)));
+    assert_eq!(
+        floor(own(7, 90)),
+        Some(Position::new(1, 5)),
+        "a later proof stands for the commit, also if the commit was dropped since"
+    );
+}
+
+#[test]
+fn a_proof_of_a_newer_term_stands_for_commits_of_older_ones() {
+    let evidence = evidence(&[proof(100, 2, 5)]);
+    let own = Some(OwnCommit {
+        position: Position::new(1, 9),
+        acknowledged_at: at(150),
+    });
+    let floor = read_floor(&evidence, at(50), own);
+    assert_eq!(floor, Some(Position::new(2, 5)));
+}
+
+fn load(distance: Distance) -> ServerLoad {
+    ServerLoad {
+        distance,
+        answer_time: Duration::from_millis(20),
+        in_flight: 0,
+        slots: 3,
+        shown: None,
+        avoided_until: Timestamp::ZERO,
+        takes_reads: true,
+        leads: false,
+    }
+}
+
+const FLOOR: Position = Position::new(1, 10);
+
+fn chosen(loads: &[ServerLoad], excluded: &[usize]) -> Option<usize> {
+    choose_read_server(loads, excluded, FLOOR, at(1_000))
+}
+
+#[test]
+fn reads_go_to_the_nearest_server() {
+    let loads = [
+        load(Distance::Remote),
+        load(Distance::Zone),
+        load(Distance::Region),
+    ];
+    assert_eq!(chosen(&loads, &[]), Some(1));
+    assert_eq!(chosen(&loads, &[1]), Some(2));
+    assert_eq!(chosen(&loads, &[0, 1, 2]), None);
+}
+
+#[test]
+fn reads_leave_a_slow_or_crowded_server() {
+    let mut slow = load(Distance::Zone);
+    slow.answer_time = Duration::from_millis(200);
+    assert_eq!(chosen(&[slow, load(Distance::Remote)], &[]), Some(1));
+    let mut crowded = load(Distance::Zone);
+    crowded.in_flight = 18;
+    assert_eq!(chosen(&[crowded, load(Distance::Remote)], &[]), Some(1));
+}
+
+#[test]
+fn reads_pass_over_a_leaving_a_silent_and_a_lagging_server() {
+    let mut leaving = load(Distance::Zone);
+    leaving.takes_reads = false;
+    assert_eq!(chosen(&[leaving, load(Distance::Remote)], &[]), Some(1));
+    let mut silent = load(Distance::Zone);
+    silent.avoided_until = at(1_100);
+    assert_eq!(chosen(&[silent, load(Distance::Remote)], &[]), Some(1));
+    assert_eq!(chosen(&[silent], &[]), Some(0), "there is no other");
+    let mut lagging = load(Distance::Zone);
+    lagging.shown = Some((Position::new(1, 9), at(990)));
+    assert_eq!(chosen(&[lagging, load(Distance::Remote)], &[]), Some(1));
+    lagging.shown = Some((Position::new(1, 9), at(500)));
+    assert_eq!(
+        chosen(&[lagging, load(Distance::Remote)], &[]),
+        Some(0),
+        "it may have caught up since"
+    );
+}
+
+const PATIENCE: Duration = Duration::from_millis(450);
+
+fn sight(proven_ago_ms: Option<u64>) -> Sight {
+    Sight {
+        proven_ago: proven_ago_ms.map(Duration::from_millis),
+    }
+}
+
+fn missing(peers: Vec<Sight>) -> Missing {
+    Missing {
+        missing_for: PATIENCE,
+        asked: 6,
+        peers,
+        listed: true,
+    }
+}
+
+#[test]
+fn one_nodes_silence_replaces_no_primary() {
+    let seen_by_all = missing(vec![sight(Some(100)); 6]);
+    assert_eq!(judge(&seen_by_all, PATIENCE), Verdict::Keep);
+    let seen_by_half = missing(vec![sight(Some(100)), sight(Some(50)), sight(None)]);
+    assert_eq!(judge(&seen_by_half, PATIENCE), Verdict::Keep);
+    let seen_by_few = missing(vec![sight(Some(100)), sight(Some(2_000)), sight(None)]);
+    assert_eq!(judge(&seen_by_few, PATIENCE), Verdict::Replace);
+}
+
+#[test]
+fn a_primary_is_given_its_time_to_answer() {
+    let mut early = missing(vec![sight(None); 6]);
+    early.missing_for = PATIENCE - Duration::from_millis(1);
+    assert_eq!(judge(&early, PATIENCE), Verdict::Keep);
+}
+
+#[test]
+fn a_node_that_hears_from_nobody_waits_for_the_directory() {
+    let mut alone = missing(Vec::new());
+    assert_eq!(judge(&alone, PATIENCE), Verdict::Keep);
+    alone.listed = false;
+    assert_eq!(judge(&alone, PATIENCE), Verdict::Replace);
+    let mut only_node = missing(Vec::new());
+    only_node.asked = 0;
+    assert_eq!(judge(&only_node, PATIENCE), Verdict::Replace);
+}
+
+fn candidate(offset: Option<u64>, staying: bool) -> Candidate {
+    Candidate {
+        received: offset.map(|offset| Position::new(1, offset)),
+        staying,
+    }
+}
+
+#[test]
+fn the_replica_that_received_most_takes_over() {
+    let candidates = [
+        candidate(Some(5), true),
+        candidate(Some(9), false),
+        candidate(Some(7), true),
+        candidate(None, true),
+    ];
+    assert_eq!(choose_successor(&candidates, 0), Some(2));
+    assert_eq!(choose_successor(&[candidate(Some(5), false)], 0), None);
+}
+
+#[test]
+fn with_synchronous_replicas_no_acknowledged_commit_may_be_missed() {
+    let all_told = [candidate(Some(5), true), candidate(Some(7), true)];
+    assert_eq!(choose_successor(&all_told, 1), Some(1));
+    let one_silent = [candidate(Some(5), true), candidate(None, true)];
+    assert_eq!(choose_successor(&one_silent, 1), None);
+    assert_eq!(choose_successor(&one_silent, 2), Some(0));
+    let leaving_has_more = [candidate(Some(5), true), candidate(Some(7), false)];
+    assert_eq!(choose_successor(&leaving_has_more, 1), None);
+}
+
+#[test]
+fn the_duty_is_taken_over_only_from_a_holder_that_does_not_answer() {
+    let row = DutyRow {
+        holder: "a".to_owned(),
+        token: 4,
+    };
+    let step = |row, unanswered_ms, own| {
+        let unanswered_for = Duration::from_millis(unanswered_ms);
+        next_step(
+            &DutyView {
+                row,
+                unanswered_for,
+            },
+            own,
+        )
+    };
+    assert_eq!(step(None, 0, "b"), DutyStep::Decide);
+    assert_eq!(step(Some(&row), 0, "a"), DutyStep::Decide);
+    assert_eq!(step(Some(&row), 0, "b"), DutyStep::AskHolder);
+    assert_eq!(step(Some(&row), 2_000, "b"), DutyStep::Decide);
+}
+
+#[test]
+fn each_decision_has_a_higher_token() {
+    let first = DutyRow::next(None, "a");
+    let second = DutyRow::next(Some(&first), "a");
+    let third = DutyRow::next(Some(&second), "b");
+    assert_eq!((first.token, second.token, third.token), (1, 2, 3));
+    assert_eq!(third.holder, "b");
+}
