Try the next server when one refuses the connection

Cause, found by a test with stand-ins: reads ended as not run (no_server) although two servers were fresh, because a server that refused the start-up (its address was taken over by another one) and the end of the list were told by the same value. Ruled out: the choice of servers (it named the right ones). Before: a_server_whose_address_another_group_took_is_not_used failed.

--- a/crates/spurpier-pipeline/src/unit/read.rs
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -64,8 +64,8 @@
         let mut refused = NotRun::NoServer;
         for _ in 0..ATTEMPTS {
             let place = match self.take_reader(floor, &mut tried).await {
-                Ok(place) => place,
-                Err(NotRun::NoServer) => break,
+                Ok(Some(place)) => place,
+                Ok(None) => break,
                 Err(reason) => {
                     refused = reason;
                     continue;
@@ -172,12 +172,12 @@
         });
     }
 
-    /// Takes a connection to the best server that has not been tried.
+    /// Takes a connection to the best server that has not been tried; none if all have been.
     pub(super) async fn take_reader(
         &self,
         floor: Position,
         tried: &mut Vec<String>,
-    ) -> Result<Place, NotRun> {
+    ) -> Result<Option<Place>, NotRun> {
         let clock = &self.context.clock;
         let servers = self.group.servers();
         let lead = self.group.lead().map(|lead| lead.instance.clone());
@@ -190,11 +190,14 @@
             .filter(|index| tried.contains(&servers[*index].instance))
             .collect();
         let chosen = choose_read_server(&loads, &excluded, floor, clock.now());
-        let server = Arc::clone(&servers[chosen.ok_or(NotRun::NoServer)?]);
+        let Some(chosen) = chosen else {
+            return Ok(None);
+        };
+        let server = Arc::clone(&servers[chosen]);
         tried.push(server.instance.clone());
         let until = self.times.wait_until;
         match server.pool.acquire(&self.values, until).await {
-            Ok(lease) => Ok(Place::new(server, lease)),
+            Ok(lease) => Ok(Some(Place::new(server, lease))),
             Err(AcquireError::Full) => {
                 server.health().avoid(clock.now());
                 Err(NotRun::NoConnection)
--- a/crates/spurpier-pipeline/src/unit/transaction.rs
+++ b/crates/spurpier-pipeline/src/unit/transaction.rs
@@ -182,8 +182,8 @@
         let mut refused = NotRun::NoServer;
         for _ in 0..ATTEMPTS {
             let place = match self.take_reader(floor, &mut tried).await {
-                Ok(place) => place,
-                Err(NotRun::NoServer) => break,
+                Ok(Some(place)) => place,
+                Ok(None) => break,
                 Err(reason) => {
                     refused = reason;
                     continue;
--- a/crates/spurpier-pipeline/src/unit/write.rs
+++ b/crates/spurpier-pipeline/src/unit/write.rs
@@ -61,7 +61,10 @@
                 NotRun::ServerBusy
             }
             ErrorClass::Lagging => NotRun::NoFreshServer,
-            _ => NotRun::NoServer,
+            _ => {
+                server.health().avoid(now);
+                NotRun::NoServer
+            }
         }
     }
 }
