Count time against the duty's holder only from a question that it left unanswered

Ruled out: datagrams lost (the node had its answer), a frozen holder. The decision is also dropped if a lead was proved since the look that asked for it.

--- a/crates/spurpier-core/src/lead/duty.rs
+++ b/crates/spurpier-core/src/lead/duty.rs
@@ -10,8 +10,12 @@
 
 use nanoserde::{DeBin, SerBin};
 
+use crate::time::Timestamp;
+
 /// How long a holder may leave a node without an answer before the node takes the duty over.
 const HOLDER_PATIENCE: Duration = Duration::from_millis(900);
+/// How long a holder that answers may leave a group without a new primary.
+const DECISION_PATIENCE: Duration = Duration::from_secs(5);
 
 /// The row of the duty.
 #[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
@@ -41,21 +45,54 @@
     AskHolder,
 }
 
-/// What a node knows of the duty while it needs a decision.
+/// What a node knows of one holder while it needs a decision.
+///
+/// Time counts against the holder only from a question that it left without an answer: a node
+/// that has not asked again for a while has no reason for impatience.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct DutyView<'a> {
-    /// The row; none if there is none.
-    pub row: Option<&'a DutyRow>,
-    /// For how long this node has seen the row unchanged, asked its holder, and had no answer.
-    pub unanswered_for: Duration,
+pub struct HolderRecord {
+    first_asked: Timestamp,
+    unanswered_since: Option<Timestamp>,
 }
 
-/// What a node that needs a decision does next.
-pub fn next_step(view: &DutyView<'_>, own_name: &str) -> DutyStep {
-    match view.row {
+impl HolderRecord {
+    /// A holder that is about to be asked for the first time.
+    pub fn new(now: Timestamp) -> Self {
+        HolderRecord {
+            first_asked: now,
+            unanswered_since: None,
+        }
+    }
+
+    /// Takes in what became of a question that was asked at `asked_at`.
+    pub fn note_question(&mut self, asked_at: Timestamp, was_heard: bool) {
+        if was_heard {
+            self.unanswered_since = None;
+        } else {
+            self.unanswered_since.get_or_insert(asked_at);
+        }
+    }
+
+    /// Whether the duty may be taken over from the holder.
+    fn is_lost(&self, now: Timestamp) -> bool {
+        let is_silent = self
+            .unanswered_since
+            .is_some_and(|since| now.since(since) >= HOLDER_PATIENCE);
+        is_silent || now.since(self.first_asked) >= DECISION_PATIENCE
+    }
+}
+
+/// What a node that needs a decision does next, by the row and what it knows of its holder.
+pub fn next_step(
+    row: Option<&DutyRow>,
+    own_name: &str,
+    holder: &HolderRecord,
+    now: Timestamp,
+) -> DutyStep {
+    match row {
         None => DutyStep::Decide,
         Some(row) if row.holder == own_name => DutyStep::Decide,
-        Some(_) if view.unanswered_for >= HOLDER_PATIENCE => DutyStep::Decide,
+        Some(_) if holder.is_lost(now) => DutyStep::Decide,
         Some(_) => DutyStep::AskHolder,
     }
 }
--- a/crates/spurpier-core/src/lead/mod.rs
+++ b/crates/spurpier-core/src/lead/mod.rs
@@ -11,6 +11,6 @@
 mod failover;
 
 pub use choice::{Distance, ServerLoad, choose_read_server};
-pub use duty::{DutyRow, DutyStep, DutyView, next_step};
+pub use duty::{DutyRow, DutyStep, HolderRecord, next_step};
 pub use evidence::{LeadEvidence, OwnCommit, Proof, read_floor};
 pub use failover::{Candidate, Missing, Sight, Verdict, choose_successor, judge};
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use spurpier_core::lead::{DutyStep, DutyView, Missing, Verdict, judge, next_step};
+use spurpier_core::lead::{DutyStep, HolderRecord, Missing, Verdict, judge, next_step};
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
 use tokio::sync::mpsc;
@@ -30,8 +30,6 @@
 const CASE_PAUSE: Duration = Duration::from_millis(120);
 /// How long a new primary may take to lead after its order was taken.
 const TAKE_OVER_LIMIT: Duration = Duration::from_millis(2_500);
-/// After how long without a change a case is closed although the holder answers.
-const HOLDER_LIMIT: Duration = Duration::from_secs(4);
 
 /// Looks after all groups; never returns.
 pub async fn watch_groups(
@@ -82,6 +80,7 @@
             group,
             missing_since: None,
             holder: None,
+            assessed_at: context.clock.now(),
         };
         let cases = Arc::clone(self);
         tokio::spawn(async move {
@@ -105,20 +104,16 @@
     Replacement(Option<Arc<Server>>),
 }
 
-/// What the holder of the duty has said to this node's asking.
-struct HolderPatience {
-    duty: KnownDuty,
-    first_asked: Timestamp,
-    last_heard: Timestamp,
-}
-
 /// One group that may need a new primary.
 struct Case {
     context: Arc<Context>,
     peers: Arc<Peers>,
     group: Arc<Group>,
     missing_since: Option<Timestamp>,
-    holder: Option<HolderPatience>,
+    /// The duty as it was read, and what is known of its holder since.
+    holder: Option<(KnownDuty, HolderRecord)>,
+    /// When the look began that told what the group needs.
+    assessed_at: Timestamp,
 }
 
 impl Case {
@@ -137,6 +132,7 @@
     async fn assess(&mut self) -> Need {
         let clock = &self.context.clock;
         let started = clock.now();
+        self.assessed_at = started;
         let until = started + PROVING_LIMIT;
         let proven = renew_proof(&self.context, &self.group, started, until).await;
         let lead = self.group.lead();
@@ -191,46 +187,27 @@
         let Some(duty) = read_duty(&self.context).await else {
             return;
         };
-        let own_name = self.context.settings.node.name.clone();
-        let unanswered_for = self.unanswered_for(&duty);
-        let view = DutyView {
-            row: duty.row.as_ref(),
-            unanswered_for,
+        let now = self.context.clock.now();
+        let record = match &self.holder {
+            Some((known, record)) if *known == duty => *record,
+            _ => HolderRecord::new(now),
         };
-        match next_step(&view, &own_name) {
+        self.holder = Some((duty.clone(), record));
+        let own_name = self.context.settings.node.name.as_str();
+        match next_step(duty.row.as_ref(), own_name, &record, now) {
             DutyStep::Decide => self.decide(&duty, former, planned).await,
             DutyStep::AskHolder => self.ask_holder(&duty).await,
         }
     }
 
-    /// For how long the holder of this very row has left this node without an answer.
-    fn unanswered_for(&mut self, duty: &KnownDuty) -> Duration {
-        let now = self.context.clock.now();
-        match &self.holder {
-            Some(patience) if patience.duty == *duty => {
-                if now.since(patience.first_asked) > HOLDER_LIMIT {
-                    return HOLDER_LIMIT;
-                }
-                now.since(patience.last_heard)
-            }
-            _ => {
-                self.holder = Some(HolderPatience {
-                    duty: duty.clone(),
-                    first_asked: now,
-                    last_heard: now,
-                });
-                Duration::ZERO
-            }
-        }
-    }
-
     async fn ask_holder(&mut self, duty: &KnownDuty) {
         let Some(row) = &duty.row else {
             return;
         };
+        let asked_at = self.context.clock.now();
         let heard = self.peers.tell_holder(&row.holder, &self.group.name).await;
-        if let Some(patience) = self.holder.as_mut().filter(|_| heard) {
-            patience.last_heard = self.context.clock.now();
+        if let Some((_, record)) = &mut self.holder {
+            record.note_question(asked_at, heard);
         }
     }
 
@@ -238,6 +215,9 @@
         let Some(token) = take_token(&self.context, duty).await else {
             return;
         };
+        if !planned && self.is_led_again() {
+            return;
+        }
         let (context, group) = (&self.context, &self.group);
         let ordered = match &former {
             Some(former) if planned => hand_over(context, group, former, token).await,
@@ -250,6 +230,12 @@
         }
     }
 
+    /// Whether a lead was proved since the look that found none.
+    fn is_led_again(&self) -> bool {
+        let proven_at = self.group.proven_at();
+        proven_at.is_some_and(|proven| proven >= self.assessed_at)
+    }
+
     /// Waits until another server than the former primary has proved the lead.
     async fn await_take_over(&mut self, former: Option<&Server>) {
         let former = former.map(|server| server.instance.clone());
