Count servers that left the directory in a decision, and resume what it paused

Ruled out: the choice among those that told (it took the furthest). Servers are remembered for 30 s after they left.

--- a/crates/spurpier-pipeline/src/directory.rs
+++ b/crates/spurpier-pipeline/src/directory.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use spurpier_events::log_event;
 
@@ -147,11 +148,11 @@
             listing.leaving_since.get_or_insert(now);
         }
         log_leaving(&group, &server, "gone");
-        let still_leads = group
+        let leads = group
             .lead()
             .is_some_and(|lead| lead.instance == server.instance);
-        if !still_leads {
-            group.remove(instance);
+        if !leads {
+            server.pool.close_idle();
         }
     }
 }
@@ -182,6 +183,30 @@
     }
 }
 
+/// For how long a server that left the directory is remembered: it may still run, and it may hold
+/// commits that a successor must not lack.
+const GONE_MEMORY: Duration = Duration::from_secs(30);
+/// How often servers are forgotten.
+const FORGET_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Forgets servers that left the directory long ago; never returns.
+pub async fn forget_gone(context: Arc<Context>) {
+    loop {
+        tokio::time::sleep(FORGET_INTERVAL).await;
+        let now = context.clock.now();
+        for group in context.all_groups() {
+            for server in group.servers() {
+                let gone_long = server
+                    .leaving_for(now)
+                    .is_some_and(|time| time > GONE_MEMORY);
+                if server.is_gone() && gone_long {
+                    group.remove(&server.instance);
+                }
+            }
+        }
+    }
+}
+
 fn log_leaving(group: &Group, server: &Server, why: &str) {
     log_event!(
         events::SERVER_LEAVING,
--- a/crates/spurpier-pipeline/src/duty/successor.rs
+++ b/crates/spurpier-pipeline/src/duty/successor.rs
@@ -51,6 +51,9 @@
 }
 
 /// Asks all servers but the former primary at the same time.
+///
+/// Where commits wait for replicas, those that have just left the directory are asked as well:
+/// they may hold what was acknowledged.
 async fn ask_replicas(
     context: &Context,
     group: &Group,
@@ -58,8 +61,11 @@
     request: ServerRequest<'static>,
 ) -> Vec<Told> {
     let former = former.map(|server| server.instance.as_str());
+    let with_gone = group.synchronous_replicas() > 0;
     let replicas = group.servers().into_iter();
-    let replicas = replicas.filter(|server| Some(server.instance.as_str()) != former);
+    let replicas = replicas
+        .filter(|server| Some(server.instance.as_str()) != former)
+        .filter(|server| with_gone || !server.is_gone());
     let questions = replicas.map(|server| async move {
         let status = ask(context, &server, request).await;
         Told { server, status }
@@ -103,9 +109,8 @@
         return None;
     };
     let answer = order(context, group, &successor, token).await;
-    if answer != Ok(PromotionAnswer::Accepted) {
-        resume(context, group, former, synchronous).await;
-    }
+    // An order that changes nothing, since the successor leads already, resumes nobody.
+    resume(context, group, former, synchronous).await;
     Some(answer)
 }
 
--- a/crates/spurpier-pipeline/src/group.rs
+++ b/crates/spurpier-pipeline/src/group.rs
@@ -212,7 +212,8 @@
     let answers = server.health().avoided_until <= now;
     let (claims, version) = {
         let listing = server.listing();
-        (listing.entry.role == ServerRole::Primary, listing.version)
+        let claims = listing.entry.role == ServerRole::Primary && !listing.gone;
+        (claims, listing.version)
     };
     (claims, answers, version)
 }
--- a/crates/spurpier-pipeline/src/lib.rs
+++ b/crates/spurpier-pipeline/src/lib.rs
@@ -23,4 +23,4 @@
 pub mod settings;
 mod unit;
 
-pub use node::{Node, NodeError, NodeParts, Stop};
+pub use node::{Listeners, Node, NodeError, NodeParts, Stop};
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -1,6 +1,7 @@
 //! A node: the parts of the pipeline, started together and stopped together.
 
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex};
@@ -16,7 +17,7 @@
 
 use crate::clock::Clock;
 use crate::context::Context;
-use crate::directory::{ConfigurationSink, ServerSink};
+use crate::directory::{ConfigurationSink, ServerSink, forget_gone};
 use crate::duty::{Peers, watch_groups};
 use crate::events;
 use crate::follow::follow;
@@ -26,7 +27,7 @@
 };
 use crate::readiness;
 use crate::session::serve_client;
-use crate::settings::PipelineSettings;
+use crate::settings::{ListenSettings, PipelineSettings};
 
 /// How long the listener rests after a failed accept, as when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -57,10 +58,46 @@
 
 impl std::error::Error for NodeError {}
 
+/// The sockets on which a node listens.
+pub struct Listeners {
+    client: TcpListener,
+    ready: TcpListener,
+    internal: UdpSocket,
+}
+
+impl Listeners {
+    /// Binds the addresses of the settings, and puts the ports that the system chose in the place
+    /// of zeros.
+    ///
+    /// # Errors
+    ///
+    /// `Bind` for the first address that cannot be bound.
+    pub async fn bind(listen: &mut ListenSettings) -> Result<Self, Report<NodeError>> {
+        let listeners = Listeners {
+            client: bind(listen.client).await?,
+            ready: bind(listen.ready).await?,
+            internal: bind_datagrams(listen.internal).await?,
+        };
+        listen.client = local(listeners.client.local_addr(), listen.client)?;
+        listen.ready = local(listeners.ready.local_addr(), listen.ready)?;
+        listen.internal = local(listeners.internal.local_addr(), listen.internal)?;
+        Ok(listeners)
+    }
+}
+
+fn local(
+    bound: io::Result<SocketAddr>,
+    wanted: SocketAddr,
+) -> Result<SocketAddr, Report<NodeError>> {
+    bound.change_context(NodeError::Bind(wanted))
+}
+
 /// What a node is made of.
 pub struct NodeParts {
     /// The settings.
     pub settings: PipelineSettings,
+    /// The sockets, bound to the settings' addresses.
+    pub listeners: Listeners,
     /// What clients speak.
     pub client_dialect: Arc<dyn ClientDialect>,
     /// What servers speak.
@@ -82,17 +119,11 @@
 
 impl Node {
     /// Runs a node until `stop` is cancelled and its sessions have ended.
-    ///
-    /// # Errors
-    ///
-    /// `Bind` if an address of the settings cannot be bound.
-    pub async fn run(parts: NodeParts, stop: Stop) -> Result<(), Report<NodeError>> {
-        let client_listener = bind(parts.settings.listen.client).await?;
-        let ready_listener = bind(parts.settings.listen.ready).await?;
-        let peer_socket = bind_datagrams(parts.settings.listen.internal).await?;
-        let context = Arc::new(Context::new(parts));
-        start_tasks(&context, ready_listener);
-        start_duty(&context, peer_socket);
+    pub async fn run(parts: NodeParts, stop: Stop) {
+        let (context, listeners) = Context::new(parts);
+        let context = Arc::new(context);
+        start_tasks(&context, listeners.ready);
+        start_duty(&context, listeners.internal);
         log_event!(
             events::NODE_STARTED,
             node = context.settings.node.name,
@@ -101,11 +132,10 @@
         );
         let sessions = TaskTracker::new();
         tokio::select! {
-            () = accept(&context, &client_listener, &sessions) => {}
+            () = accept(&context, &listeners.client, &sessions) => {}
             () = stop.cancelled() => {}
         }
-        drain(&context, client_listener, &sessions).await;
-        Ok(())
+        drain(&context, listeners.client, &sessions).await;
     }
 }
 
@@ -120,8 +150,8 @@
 }
 
 impl Context {
-    fn new(parts: NodeParts) -> Self {
-        Context {
+    fn new(parts: NodeParts) -> (Self, Listeners) {
+        let context = Context {
             settings: parts.settings,
             clock: Clock::new(),
             client_dialect: parts.client_dialect,
@@ -137,7 +167,8 @@
             directory_known: watch::Sender::new(false),
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
-        }
+        };
+        (context, parts.listeners)
     }
 }
 
@@ -150,6 +181,7 @@
     let servers = ServerSink::new(shared());
     tokio::spawn(follow(shared(), Table::Servers, servers));
     tokio::spawn(follow(shared(), Table::Nodes, NodeSink(shared())));
+    tokio::spawn(forget_gone(shared()));
     let internal = context.settings.listen.internal;
     tokio::spawn(list_self(shared(), internal));
 }
--- a/crates/spurpier/src/cli/gateway.rs
+++ b/crates/spurpier/src/cli/gateway.rs
@@ -5,7 +5,7 @@
 
 use spurpier_events::log_event;
 use spurpier_pipeline::settings::PipelineSettings;
-use spurpier_pipeline::{Node, NodeParts, Stop, events};
+use spurpier_pipeline::{Listeners, Node, NodeParts, Stop, events};
 use spurpier_platform::{
     Endpoint, HttpMetadataStore, HttpPromotionService, JsonEntries, LineDialect, settings_path,
 };
@@ -43,21 +43,23 @@
     PipelineSettings::parse(&text).map_err(|error| format!("{}: {error}", path.display()))
 }
 
-async fn run_node(settings: PipelineSettings, path: PathBuf) -> Result<(), String> {
+async fn run_node(mut settings: PipelineSettings, path: PathBuf) -> Result<(), String> {
     let stop = Stop::new();
     let signals = Signals::install().map_err(|error| error.to_string())?;
     tokio::spawn(signals.handle(stop.clone(), path));
-    let parts = parts(settings);
-    let ended = Node::run(parts, stop).await;
-    ended.map_err(|report| format!("{report:?}"))
+    let bound = Listeners::bind(&mut settings.listen).await;
+    let listeners = bound.map_err(|report| format!("{report:?}"))?;
+    Node::run(parts(settings, listeners), stop).await;
+    Ok(())
 }
 
 /// Puts the adapter to the platform behind the ports.
-fn parts(settings: PipelineSettings) -> NodeParts {
+fn parts(settings: PipelineSettings, listeners: Listeners) -> NodeParts {
     let store = Endpoint::new(settings.platform.store);
     let promotion = Endpoint::new(settings.platform.promotion);
     NodeParts {
         settings,
+        listeners,
         client_dialect: Arc::new(LineDialect),
         server_dialect: Arc::new(LineDialect),
         store: Arc::new(HttpMetadataStore::new(store)),
