Judge a lost primary after 200 ms, and full connections not at all

Full connections counted as a missing primary, which would replace one under load. Ruled out: the duty's row (0.03 s) and the statuses (0.04 s).

--- a/crates/spurpier-core/src/lead/failover.rs
+++ b/crates/spurpier-core/src/lead/failover.rs
@@ -4,8 +4,9 @@
 
 use crate::position::Position;
 
-/// A proof of lead younger than this says that the primary serves.
-const PROOF_VALIDITY: Duration = Duration::from_millis(900);
+/// A proof of lead younger than this says that the primary serves. A node that is asked has the
+/// lead proved anew unless its proof is fresh, so that an older one tells of a failed attempt.
+const PROOF_VALIDITY: Duration = Duration::from_millis(550);
 
 /// What one node sees of a group's primary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -18,14 +18,16 @@
 use crate::group::Group;
 use crate::ports::PromotionAnswer;
 use crate::server::Server;
-use crate::unit::renew_proof;
+use crate::unit::{NotRun, renew_proof};
 
 /// How often the groups are looked at.
 const TICK: Duration = Duration::from_millis(150);
 /// How long the lead may take to prove itself to the watch.
 const PROVING_LIMIT: Duration = Duration::from_millis(350);
 /// For how long all proofs must have failed before others are asked.
-const PATIENCE: Duration = Duration::from_millis(450);
+const PATIENCE: Duration = Duration::from_millis(200);
+/// Messages in a row without an answer from which on a server counts as silent.
+const SILENCES: u32 = 2;
 /// The pause between two looks of a case.
 const CASE_PAUSE: Duration = Duration::from_millis(120);
 /// How long a new primary may take to lead after its order was taken.
@@ -146,6 +148,10 @@
         if self.group.servers().is_empty() {
             return Need::Nothing;
         }
+        if proven == Err(NotRun::NoConnection) && !lead.is_some_and(|lead| is_silent(&lead)) {
+            // All connections are at work: that tells of load, not of a lost primary.
+            return Need::Patience;
+        }
         let missing_since = *self.missing_since.get_or_insert(started);
         let missing_for = clock.now().since(missing_since);
         if missing_for < PATIENCE {
@@ -256,6 +262,11 @@
     }
 }
 
+/// Whether a server has left several messages in a row unanswered.
+fn is_silent(server: &Server) -> bool {
+    server.health().silences >= SILENCES
+}
+
 fn lead_name(server: Option<&Server>) -> &str {
     server.map_or("none", |server| server.instance.as_str())
 }
