--- a/crates/spurpier-pipeline/src/clock.rs
+++ b/crates/spurpier-pipeline/src/clock.rs
@@ -43,6 +43,11 @@
         Timestamp::ZERO + HEAD_START + self.origin.elapsed()
     }
 
+    /// How long the clock has run.
+    pub fn runs_for(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
     /// The point of the runtime's clock that `moment` stands for.
     pub fn instant(&self, moment: Timestamp) -> Instant {
         self.origin + moment.since(Timestamp::ZERO + HEAD_START)
--- a/crates/spurpier-pipeline/src/directory.rs
+++ b/crates/spurpier-pipeline/src/directory.rs
@@ -216,16 +216,33 @@
     );
 }
 
+/// How long a server may keep the connections of a process that ended without a word.
+const FORMER_CONNECTIONS: Duration = Duration::from_millis(3_300);
+
 /// This node's share of the connections to each server of a group.
 ///
-/// One in ten is left for nodes that come before all others have taken in the new count.
+/// One in ten is left for nodes that come before all others have taken in the new count. A node
+/// that has just started takes two thirds of it: if the machines lost power, the servers still hold the
+/// connections from before.
 fn connection_share(context: &Context, group: &str) -> usize {
     let known = context
         .in_force()
         .and_then(|known| known.connections(group));
     let all = known.unwrap_or(UNKNOWN_LIMIT);
     let nodes = context.nodes.load(Ordering::Relaxed).max(1);
-    (all * 9 / 10 / nodes).max(1)
+    let share = all * 9 / 10 / nodes;
+    let share = if context.clock.runs_for() < FORMER_CONNECTIONS {
+        share * 2 / 3
+    } else {
+        share
+    };
+    share.max(1)
+}
+
+/// Gives each pool its whole share once the servers have dropped what was there before the start.
+pub async fn share_after_start(context: Arc<Context>) {
+    tokio::time::sleep(FORMER_CONNECTIONS).await;
+    share_connections(&context);
 }
 
 /// Gives each pool this node's share anew.
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -17,7 +17,7 @@
 
 use crate::clock::Clock;
 use crate::context::Context;
-use crate::directory::{ConfigurationSink, ServerSink, forget_gone};
+use crate::directory::{ConfigurationSink, ServerSink, forget_gone, share_after_start};
 use crate::duty::{Peers, watch_groups};
 use crate::events;
 use crate::follow::follow;
@@ -182,6 +182,7 @@
     tokio::spawn(follow(shared(), Table::Servers, servers));
     tokio::spawn(follow(shared(), Table::Nodes, NodeSink(shared())));
     tokio::spawn(forget_gone(shared()));
+    tokio::spawn(share_after_start(shared()));
     let internal = context.settings.listen.internal;
     tokio::spawn(list_self(shared(), internal));
 }
