--- a/crates/spurpier-pipeline/src/lib.rs
+++ b/crates/spurpier-pipeline/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod events;
 mod follow;
 mod group;
+pub mod log_budget;
 mod membership;
 mod node;
 pub mod ports;
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -21,6 +21,7 @@
 use crate::duty::{Peers, watch_groups};
 use crate::events;
 use crate::follow::follow;
+use crate::log_budget::LogBudget;
 use crate::membership::{NodeSink, list_self, unlist_self};
 use crate::ports::{
     ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
@@ -165,6 +166,7 @@
             peers: Mutex::default(),
             store_answered_at: Mutex::default(),
             directory_known: watch::Sender::new(false),
+            log_budget: LogBudget::default(),
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
         };
--- a/crates/spurpier-pipeline/src/server/mod.rs
+++ b/crates/spurpier-pipeline/src/server/mod.rs
@@ -15,7 +15,10 @@
 pub use self::health::Health;
 pub use self::pool::{AcquireError, Lease, Pool, Target};
 
+use spurpier_events::log_event;
+
 use crate::clock::Clock;
+use crate::events;
 use crate::ports::{ServerEntry, ServerRole};
 
 /// What the directory last said of a server.
@@ -113,6 +116,13 @@
 
     /// Takes in that it did not answer.
     pub fn note_silence(&self, clock: &Clock) {
-        self.health().note_silence(clock.now());
+        let silences = {
+            let mut health = self.health();
+            health.note_silence(clock.now());
+            health.silences
+        };
+        if silences == 1 {
+            log_event!(events::SERVER_SILENT, server = self.instance);
+        }
     }
 }
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -17,7 +17,7 @@
 
 use spurpier_core::lead::OwnCommit;
 use spurpier_core::position::Position;
-use spurpier_events::log_event;
+use spurpier_events::{Event, log_event};
 
 pub use self::attempt::{Place, own_attempt};
 pub use self::lead::renew_proof;
@@ -107,38 +107,59 @@
     /// The answer of a statement that has not run.
     fn refuse(&self, id: &str, reason: NotRun) -> Answer {
         let retry_after_ms = reason.retry_after_ms();
-        log_event!(
-            events::REQUEST_NOT_RUN,
-            request = id,
-            group = self.group.name,
-            reason = reason.text(),
-            retry_after_ms = retry_after_ms,
-            waited_ms = self.times.waited(self.context.clock.now()).as_millis()
-        );
+        if let Some(suppressed) = self.log_budget(events::REQUEST_NOT_RUN) {
+            log_event!(
+                events::REQUEST_NOT_RUN,
+                request = id,
+                group = self.group.name,
+                reason = reason.text(),
+                retry_after_ms = retry_after_ms,
+                waited_ms = self.waited_ms(),
+                suppressed = suppressed
+            );
+        }
         let text = format!("retry-after-ms={retry_after_ms} {}", reason.text());
         Answer::error(ErrorClass::Busy, text, TransactionState::Idle)
     }
 
     /// The answer of a statement of which cannot be told whether it ran.
     fn doubt(&self, id: &str, class: ErrorClass, server: &str) -> Answer {
-        log_event!(
-            events::REQUEST_UNKNOWN,
-            request = id,
-            group = self.group.name,
-            server = server,
-            class = format!("{class:?}"),
-            waited_ms = self.times.waited(self.context.clock.now()).as_millis()
-        );
+        if let Some(suppressed) = self.log_budget(events::REQUEST_UNKNOWN) {
+            log_event!(
+                events::REQUEST_UNKNOWN,
+                request = id,
+                group = self.group.name,
+                server = server,
+                class = format!("{class:?}"),
+                waited_ms = self.waited_ms(),
+                suppressed = suppressed
+            );
+        }
         Answer::error(class, "no answer came", TransactionState::Idle)
     }
 
     fn note_retry(&self, id: &str, server: &str, why: &str) {
-        log_event!(
-            events::REQUEST_RETRIED,
-            request = id,
-            group = self.group.name,
-            server = server,
-            why = why
-        );
+        if let Some(suppressed) = self.log_budget(events::REQUEST_RETRIED) {
+            log_event!(
+                events::REQUEST_RETRIED,
+                request = id,
+                group = self.group.name,
+                server = server,
+                why = why,
+                waited_ms = self.waited_ms(),
+                suppressed = suppressed
+            );
+        }
+    }
+
+    /// Whether a line of the event may be written, and how many were suppressed before it.
+    fn log_budget(&self, event: Event) -> Option<u32> {
+        let context = &self.context;
+        context.log_budget.take(event, context.clock.now())
+    }
+
+    fn waited_ms(&self) -> u128 {
+        let now = self.context.clock.now();
+        self.times.waited(now).as_millis()
     }
 }
--- a/crates/spurpier-pipeline/src/unit/transaction.rs
+++ b/crates/spurpier-pipeline/src/unit/transaction.rs
@@ -93,18 +93,17 @@
 
     /// The answer after the connection was given up: the server drops the transaction.
     fn abort(&self, work: &Work, server: &str, failure: Failure) -> Answer {
-        log_event!(
-            events::REQUEST_NOT_RUN,
-            request = work.id,
-            group = self.unit.group.name,
-            server = server,
-            reason = format!("transaction aborted: {failure:?}"),
-            waited_ms = self
-                .unit
-                .times
-                .waited(self.unit.context.clock.now())
-                .as_millis()
-        );
+        if let Some(suppressed) = self.unit.log_budget(events::REQUEST_NOT_RUN) {
+            log_event!(
+                events::REQUEST_NOT_RUN,
+                request = work.id,
+                group = self.unit.group.name,
+                server = server,
+                reason = format!("transaction_aborted {failure:?}"),
+                waited_ms = self.unit.waited_ms(),
+                suppressed = suppressed
+            );
+        }
         let text = "retry-after-ms=100 the transaction was dropped";
         Answer::error(ErrorClass::Aborted, text, TransactionState::Failed)
     }
--- a/crates/spurpier/src/cli/gateway.rs
+++ b/crates/spurpier/src/cli/gateway.rs
@@ -15,6 +15,8 @@
 use super::{EXIT_DONE, GatewayArguments, fail};
 use crate::logging;
 use crate::settings::LogSettings;
+use crate::settings::check::check;
+use crate::settings::load::read;
 
 pub(super) fn run(arguments: &GatewayArguments) -> u8 {
     let Some(path) = arguments.settings.clone().or_else(settings_path) else {
@@ -37,9 +39,13 @@
     }
 }
 
+/// Reads and checks the settings; all findings are given together.
 fn load(path: &Path) -> Result<PipelineSettings, String> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| format!("the settings {} cannot be read: {error}", path.display()))?;
+    let text = read(path).map_err(|report| format!("{report:?}"))?;
+    let findings = check(&path.display().to_string(), &text);
+    if findings.has_errors() {
+        return Err(findings.to_string());
+    }
     PipelineSettings::parse(&text).map_err(|error| format!("{}: {error}", path.display()))
 }
 
--- a/crates/spurpier/src/settings/check.rs
+++ b/crates/spurpier/src/settings/check.rs
@@ -7,6 +7,7 @@
 use toml::de::{DeTable, DeValue};
 
 use super::finding::{Finding, Findings, Place, Severity};
+use super::gateway_schema::GATEWAY_ROOT;
 use super::relations;
 use super::schema::{Absent, Key, ROOT, Shape};
 
@@ -22,14 +23,26 @@
         collector.error(span, error.message());
     }
     let whole = document.span();
-    check_table(&mut collector, document.get_ref(), whole, ROOT);
-    relations::check(&mut collector, document.get_ref());
+    if is_of_gateway(document.get_ref()) {
+        check_table(&mut collector, document.get_ref(), whole, GATEWAY_ROOT);
+    } else {
+        check_table(&mut collector, document.get_ref(), whole, ROOT);
+        relations::check(&mut collector, document.get_ref());
+    }
     Findings {
         file: file.to_owned(),
         findings: collector.into_sorted(),
     }
 }
 
+/// Whether the settings are those of `spurpier gateway`: only these name the platform's store.
+fn is_of_gateway(root: &DeTable<'_>) -> bool {
+    let platform = root.get("platform").map(Spanned::get_ref);
+    platform
+        .and_then(DeValue::as_table)
+        .is_some_and(|platform| platform.contains_key("store"))
+}
+
 /// Collects findings of one text.
 pub(super) struct Collector<'text> {
     text: &'text str,
@@ -135,6 +148,11 @@
         (Shape::Tables(keys), DeValue::Array(tables)) => {
             check_tables(collector, name, tables.iter(), keys);
         }
+        (Shape::TextMap, DeValue::Table(table)) => {
+            for (name, value) in table.iter() {
+                check_value(collector, name.get_ref(), value, Shape::Text);
+            }
+        }
         (Shape::Addresses, DeValue::Array(addresses)) => {
             for address in addresses.iter() {
                 check_value(collector, name, address, Shape::Address);
@@ -197,7 +215,7 @@
         Shape::Address => "an IP address with a port, as in 127.0.0.1:6432".to_owned(),
         Shape::Addresses => "a list of IP addresses with ports".to_owned(),
         Shape::Url => "the address of an HTTP service, as in http://127.0.0.1:6400".to_owned(),
-        Shape::Table(_) => "a table".to_owned(),
+        Shape::Table(_) | Shape::TextMap => "a table".to_owned(),
         Shape::Tables(_) => "an array of tables, written with double brackets".to_owned(),
     }
 }
--- /dev/null
+++ b/crates/spurpier/src/settings/gateway_schema.rs
@@ -0,0 +1,91 @@
+//! Every key of the settings of `spurpier gateway`.
+//!
+//! A test holds them together with the settings' types, and the template under `deploy/` to both.
+
+use super::schema::{Absent, Key, Shape, key, milliseconds, table};
+
+const NODE: &[Key] = &[
+    key(
+        "name",
+        Shape::Text,
+        Absent::Required("\"gent-hal-1\""),
+        "The node's name, unique among living nodes.",
+    ),
+    key(
+        "zone",
+        Shape::Text,
+        Absent::Required("\"gent-hal\""),
+        "Its zone: the machines that fail and are cut off together.",
+    ),
+    key(
+        "region",
+        Shape::Text,
+        Absent::Required("\"vlaanderen\""),
+        "Its region: zones close to each other.",
+    ),
+];
+
+const LISTEN: &[Key] = &[
+    key(
+        "client",
+        Shape::Address,
+        Absent::Required("\"127.0.0.1:6432\""),
+        "Clients, over TCP.",
+    ),
+    key(
+        "ready",
+        Shape::Address,
+        Absent::Required("\"127.0.0.1:6433\""),
+        "The readiness endpoint, over HTTP: 200 or 503 for every path.",
+    ),
+    key(
+        "internal",
+        Shape::Address,
+        Absent::Required("\"127.0.0.1:6434\""),
+        "Messages of other nodes, over UDP.",
+    ),
+];
+
+const PLATFORM: &[Key] = &[
+    key(
+        "store",
+        Shape::Address,
+        Absent::Required("\"127.0.0.1:6400\""),
+        "The platform's metadata store.",
+    ),
+    key(
+        "promotion",
+        Shape::Address,
+        Absent::Required("\"127.0.0.1:6401\""),
+        "The platform's promotion service.",
+    ),
+];
+
+const BOUNDS: &[Key] = &[
+    milliseconds(
+        "server_drain_ms",
+        0,
+        "7000",
+        "How long a server that leaves may still be given work, in milliseconds.",
+    ),
+    milliseconds(
+        "grace_ms",
+        100,
+        "6000",
+        "How long a node may take to end after SIGTERM, in milliseconds.",
+    ),
+];
+
+/// The settings file of `spurpier gateway`.
+pub const GATEWAY_ROOT: &[Key] = &[
+    table("node", NODE, "Who the node is and where it stands."),
+    table("listen", LISTEN, "Where the node listens."),
+    key(
+        "zones",
+        Shape::TextMap,
+        Absent::Default("{}"),
+        "The region of each zone; a zone without one counts as remote.",
+    ),
+    table("platform", PLATFORM, "Where the platform is."),
+    table("bounds", BOUNDS, "What the platform promises and asks for."),
+];
--- a/crates/spurpier/src/settings/mod.rs
+++ b/crates/spurpier/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 pub mod finding;
+pub mod gateway_schema;
 pub mod load;
 mod relations;
 pub mod schema;
--- a/crates/spurpier/src/settings/schema.rs
+++ b/crates/spurpier/src/settings/schema.rs
@@ -30,6 +30,8 @@
     Addresses,
     /// The address of an HTTP service.
     Url,
+    /// A table of keys that are not known before, each with text.
+    TextMap,
     /// A table.
     Table(&'static [Key]),
     /// An array of tables, written with double brackets.
@@ -58,7 +60,12 @@
     pub summary: &'static str,
 }
 
-const fn key(name: &'static str, shape: Shape, absent: Absent, summary: &'static str) -> Key {
+pub(super) const fn key(
+    name: &'static str,
+    shape: Shape,
+    absent: Absent,
+    summary: &'static str,
+) -> Key {
     Key {
         name,
         shape,
@@ -67,7 +74,7 @@
     }
 }
 
-const fn milliseconds(
+pub(super) const fn milliseconds(
     name: &'static str,
     least: i64,
     default: &'static str,
@@ -77,7 +84,7 @@
     key(name, shape, Absent::Default(default), summary)
 }
 
-const fn table(name: &'static str, keys: &'static [Key], summary: &'static str) -> Key {
+pub(super) const fn table(name: &'static str, keys: &'static [Key], summary: &'static str) -> Key {
     key(name, Shape::Table(keys), Absent::Default(""), summary)
 }
 
