Hand the store's tables on to nodes that start while it is down

Cause: a node killed while the store was down knew no configuration after its start and was not ready until the store came back.

--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::configuration::InForce;
 use crate::group::Group;
+use crate::handed_on::KnownRows;
 use crate::log_budget::LogBudget;
 use crate::ports::{ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect};
 use crate::settings::PipelineSettings;
@@ -48,6 +49,8 @@
     pub store_answered_at: Mutex<Timestamp>,
     /// Whether the servers have been read once.
     pub directory_known: watch::Sender<bool>,
+    /// The store's tables as last seen.
+    pub known_rows: KnownRows,
     /// Bounds the log lines of single requests.
     pub log_budget: LogBudget,
     /// Cancelled when the drain begins.
--- a/crates/spurpier-pipeline/src/events.rs
+++ b/crates/spurpier-pipeline/src/events.rs
@@ -11,6 +11,7 @@
     ROW_MALFORMED = 6011, "row_malformed", Warn, "a row of the store cannot be read and is passed over", "see what wrote the row";
     STORE_LOST = 6012, "store_lost", Warn, "the store does not answer; the node goes on with what it knows", "see the platform's store";
     STORE_REGAINED = 6013, "store_regained", Info, "the store answers again", "none";
+    TABLE_HANDED_ON = 6014, "table_handed_on", Info, "the store did not answer at the start; a table was taken from another node", "see the platform's store";
     SERVER_ADDED = 6020, "server_added", Info, "the directory lists a new server", "none";
     SERVER_LEAVING = 6021, "server_leaving", Info, "a server is draining or gone from the directory and is given no new work", "none if planned";
     LEAD_FOUND = 6022, "lead_found", Info, "a server has proved that it leads its group", "none";
--- a/crates/spurpier-pipeline/src/follow.rs
+++ b/crates/spurpier-pipeline/src/follow.rs
@@ -10,10 +10,11 @@
 
 use crate::context::Context;
 use crate::events;
+use crate::handed_on::ask_seeds;
 use crate::ports::{ReadRows, Row, StoreError, Table};
 
 /// How long a whole read may take.
-const READ_LIMIT: Duration = Duration::from_millis(1_500);
+const READ_LIMIT: Duration = Duration::from_millis(1_000);
 /// How long one wait for changes lasts at most. A connection whose answers are lost stays silent,
 /// so that wait and slack together bound how late a change is taken in.
 const CHANGES_WAIT: Duration = Duration::from_millis(1_800);
@@ -40,8 +41,8 @@
         let version = match known {
             Some(version) => version,
             None => {
-                let read = follower.read().await;
-                sink.replace(&read.rows, read.version);
+                let read = follower.read(&mut sink).await;
+                follower.take_all(&mut sink, &read.rows, read.version);
                 read.version
             }
         };
@@ -54,6 +55,8 @@
     table: Table,
     backoff: Backoff,
     lost: bool,
+    /// Whether the table was read, or taken from another node.
+    knows_rows: bool,
 }
 
 impl Follower {
@@ -63,21 +66,47 @@
             table,
             backoff: Backoff::new(FIRST_PAUSE, LONGEST_PAUSE),
             lost: false,
+            knows_rows: false,
         }
     }
 
-    /// Reads the whole table, as often as it takes.
-    async fn read(&mut self) -> ReadRows {
+    fn take_all(&self, sink: &mut impl RowSink, rows: &[Row], version: u64) {
+        self.context.known_rows.replace(self.table, rows);
+        sink.replace(rows, version);
+    }
+
+    /// Takes the table from another node, if none was ever read.
+    async fn take_from_seeds(&mut self, sink: &mut impl RowSink) {
+        if std::mem::replace(&mut self.knows_rows, true) {
+            return;
+        }
+        match ask_seeds(&self.context, self.table).await {
+            Some(rows) => {
+                log_event!(
+                    events::TABLE_HANDED_ON,
+                    table = format!("{:?}", self.table),
+                    rows = rows.len()
+                );
+                self.take_all(sink, &rows, 0);
+            }
+            None => self.knows_rows = false,
+        }
+    }
+
+    /// Reads the whole table, as often as it takes; until then another node's will do.
+    async fn read(&mut self, sink: &mut impl RowSink) -> ReadRows {
         loop {
             let call = self.context.store.read(self.table);
             match timeout(READ_LIMIT, call).await {
                 Ok(Ok(read)) => {
                     self.note_answer();
+                    self.knows_rows = true;
                     return read;
                 }
                 Ok(Err(error)) => self.note_failure(error).await,
                 Err(_) => self.note_failure(StoreError::Unknown).await,
             }
+            self.take_from_seeds(sink).await;
         }
     }
 
@@ -94,6 +123,7 @@
             Ok(Ok(changes)) => {
                 self.note_answer();
                 for row in &changes.rows {
+                    self.context.known_rows.change(self.table, row);
                     sink.change(row);
                 }
                 Some(changes.version.max(version))
--- a/crates/spurpier-pipeline/src/lib.rs
+++ b/crates/spurpier-pipeline/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod events;
 mod follow;
 mod group;
+mod handed_on;
 pub mod log_budget;
 mod membership;
 mod node;
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -21,6 +21,7 @@
 use crate::duty::{Peers, watch_groups};
 use crate::events;
 use crate::follow::follow;
+use crate::handed_on::{self, KnownRows};
 use crate::log_budget::LogBudget;
 use crate::membership::{NodeSink, list_self, unlist_self};
 use crate::ports::{
@@ -64,6 +65,7 @@
     client: TcpListener,
     ready: TcpListener,
     internal: UdpSocket,
+    control: TcpListener,
 }
 
 impl Listeners {
@@ -78,10 +80,12 @@
             client: bind(listen.client).await?,
             ready: bind(listen.ready).await?,
             internal: bind_datagrams(listen.internal).await?,
+            control: bind(listen.control).await?,
         };
         listen.client = local(listeners.client.local_addr(), listen.client)?;
         listen.ready = local(listeners.ready.local_addr(), listen.ready)?;
         listen.internal = local(listeners.internal.local_addr(), listen.internal)?;
+        listen.control = local(listeners.control.local_addr(), listen.control)?;
         Ok(listeners)
     }
 }
@@ -125,6 +129,7 @@
         let context = Arc::new(context);
         start_tasks(&context, listeners.ready);
         start_duty(&context, listeners.internal);
+        tokio::spawn(handed_on::serve(Arc::clone(&context), listeners.control));
         log_event!(
             events::NODE_STARTED,
             node = context.settings.node.name,
@@ -166,6 +171,7 @@
             peers: Mutex::default(),
             store_answered_at: Mutex::default(),
             directory_known: watch::Sender::new(false),
+            known_rows: KnownRows::default(),
             log_budget: LogBudget::default(),
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
--- a/crates/spurpier-pipeline/src/settings.rs
+++ b/crates/spurpier-pipeline/src/settings.rs
@@ -12,6 +12,9 @@
     pub node: NodeSettings,
     /// Where it listens.
     pub listen: ListenSettings,
+    /// Control addresses of other nodes, asked if the store is down at the start.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// The region of each zone.
     #[serde(default)]
     pub zones: BTreeMap<String, String>,
@@ -40,8 +43,10 @@
     pub client: SocketAddr,
     /// The readiness endpoint.
     pub ready: SocketAddr,
-    /// Messages of other nodes, over UDP and TCP.
+    /// Messages of other nodes, over UDP.
     pub internal: SocketAddr,
+    /// Questions of nodes that start while the store is down, over TCP.
+    pub control: SocketAddr,
 }
 
 /// Where the platform is.
--- a/crates/spurpier/src/settings/gateway_schema.rs
+++ b/crates/spurpier/src/settings/gateway_schema.rs
@@ -44,6 +44,12 @@
         Absent::Required("\"127.0.0.1:6434\""),
         "Messages of other nodes, over UDP.",
     ),
+    key(
+        "control",
+        Shape::Address,
+        Absent::Required("\"127.0.0.1:6435\""),
+        "Questions of nodes that start while the store is down, over TCP.",
+    ),
 ];
 
 const PLATFORM: &[Key] = &[
@@ -80,6 +86,12 @@
 pub const GATEWAY_ROOT: &[Key] = &[
     table("node", NODE, "Who the node is and where it stands."),
     table("listen", LISTEN, "Where the node listens."),
+    key(
+        "seeds",
+        Shape::Addresses,
+        Absent::Default("[]"),
+        "Control addresses of other nodes, asked if the store is down at the start.",
+    ),
     key(
         "zones",
         Shape::TextMap,
--- a/crates/spurpier/tests/gateway_settings.rs
+++ b/crates/spurpier/tests/gateway_settings.rs
@@ -18,6 +18,11 @@
         ("region", "vlaanderen"),
         ("listen-addresses.front", "10.1.0.8:8784"),
         ("listen-addresses.ready", "10.1.0.8:8785"),
+        (
+            "seed-addresses|json",
+            "[\"10.1.0.8:8782\", \"10.2.0.6:8782\"]",
+        ),
+        ("listen-addresses.control", "10.1.0.8:8782"),
         ("ip-address", "10.1.0.8"),
         ("internal-ports.0", "7440"),
         ("platform.address", "10.200.1.7:8783"),
@@ -50,13 +55,15 @@
     let text = filled_template();
     let table: toml::Table = text.parse().expect("it is TOML");
     for key in GATEWAY_ROOT {
+        assert!(table.contains_key(key.name), "{}", key.name);
+        let Shape::Table(keys) = key.shape else {
+            continue;
+        };
         let inner = table[key.name].as_table().expect("a table");
-        if let Shape::Table(keys) = key.shape {
-            let known: Vec<&str> = keys.iter().map(|key| key.name).collect();
-            let mut given: Vec<&str> = inner.keys().map(String::as_str).collect();
-            given.sort_by_key(|name| known.iter().position(|known| known == name));
-            assert_eq!(given, known, "keys of {}", key.name);
-        }
+        let known: Vec<&str> = keys.iter().map(|key| key.name).collect();
+        let mut given: Vec<&str> = inner.keys().map(String::as_str).collect();
+        given.sort_by_key(|name| known.iter().position(|known| known == name));
+        assert_eq!(given, known, "keys of {}", key.name);
     }
 }
 
