Bound attempts beyond the first by a retry budget; find the next reader in one place

Cause: under a lasting refusal each read tried every server, which triples the load on servers that shed it; and the loop that finds the next server for a read stood twice.

--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use spurpier_core::lead::Distance;
+use spurpier_core::retry::{RetryBudget, RetryBudgetSettings};
 use spurpier_core::time::Timestamp;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -21,6 +22,14 @@
 /// How old the store's last answer may be at a node that says it can hold the duty.
 const STORE_VALIDITY: Duration = Duration::from_millis(3_000);
 
+/// Attempts beyond the first: a lost server makes many statements try again at the same time, so
+/// the budget is ample and stops only a lasting failure.
+pub const RETRY_BUDGET: RetryBudgetSettings = RetryBudgetSettings {
+    percent: 30,
+    per_second: 30,
+    burst: 150,
+};
+
 /// What all sessions and tasks of a node share.
 pub struct Context {
     /// The node's settings.
@@ -49,6 +58,8 @@
     pub store_answered_at: Mutex<Timestamp>,
     /// Whether the servers have been read once.
     pub directory_known: watch::Sender<bool>,
+    /// Bounds attempts beyond the first.
+    pub retry_budget: Mutex<RetryBudget>,
     /// The store's tables as last seen.
     pub known_rows: KnownRows,
     /// Bounds the log lines of single requests.
@@ -109,6 +120,21 @@
         !self.draining.is_cancelled() && age < STORE_VALIDITY
     }
 
+    /// Takes in a statement's first attempt, which earns a part of a further one.
+    pub fn note_first_attempt(&self) {
+        let budget = &self.retry_budget;
+        let mut budget = budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.record_attempt();
+    }
+
+    /// Whether one more attempt may be made.
+    pub fn may_retry(&self) -> bool {
+        let now = self.clock.now();
+        let budget = &self.retry_budget;
+        let mut budget = budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.try_retry(now)
+    }
+
     /// For how long a leaving server may still be given work as its group's lead.
     pub fn leaving_use(&self) -> Duration {
         Duration::from_millis(self.settings.bounds.server_drain_ms) * 3 / 4
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
+use spurpier_core::retry::RetryBudget;
 use spurpier_events::log_event;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch};
@@ -16,7 +17,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
-use crate::context::Context;
+use crate::context::{Context, RETRY_BUDGET};
 use crate::directory::{ConfigurationSink, ServerSink, forget_gone, share_after_start};
 use crate::duty::{Peers, watch_groups};
 use crate::events;
@@ -157,9 +158,11 @@
 
 impl Context {
     fn new(parts: NodeParts) -> (Self, Listeners) {
+        let clock = Clock::new();
         let context = Context {
             settings: parts.settings,
-            clock: Clock::new(),
+            retry_budget: Mutex::new(RetryBudget::new(RETRY_BUDGET, clock.now())),
+            clock,
             client_dialect: parts.client_dialect,
             server_dialect: parts.server_dialect,
             store: parts.store,
--- a/crates/spurpier-pipeline/src/unit/read.rs
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -23,6 +23,7 @@
 impl Unit {
     /// Runs a read.
     pub async fn read(&self, work: &Work) -> Done {
+        self.context.note_first_attempt();
         let answer = if self.is_latest() {
             self.read_latest(work).await
         } else {
@@ -50,6 +51,9 @@
             if self.context.clock.now() >= self.times.give_up {
                 return self.doubt(&work.id, ErrorClass::Timeout, &server.instance);
             }
+            if !self.context.may_retry() {
+                break;
+            }
         }
         self.refuse(&work.id, refused)
     }
@@ -63,13 +67,8 @@
         let mut tried = Vec::new();
         let mut refused = NotRun::NoServer;
         for _ in 0..ATTEMPTS {
-            let place = match self.take_reader(floor, &mut tried).await {
-                Ok(Some(place)) => place,
-                Ok(None) => break,
-                Err(reason) => {
-                    refused = reason;
-                    continue;
-                }
+            let Some(place) = self.next_reader(floor, &mut tried, &mut refused).await else {
+                break;
             };
             let server = Arc::clone(&place.server);
             let until = self.attempt_end();
@@ -82,6 +81,10 @@
             if self.context.clock.now() >= self.times.give_up {
                 return self.doubt(&work.id, ErrorClass::Timeout, &server.instance);
             }
+            // A replica that is behind is no failure.
+            if refused != NotRun::NoFreshServer && !self.context.may_retry() {
+                break;
+            }
             if refused == NotRun::NoFreshServer && self.is_lead(&server) {
                 // The lead itself lacks the position: it was dropped when the lead changed.
                 match self.newest_floor().await {
@@ -172,8 +175,24 @@
         });
     }
 
+    /// Takes a connection to the best server that has not been tried and gives one; none if all
+    /// have been tried, and then `refused` tells why the last one gave none.
+    pub(super) async fn next_reader(
+        &self,
+        floor: Position,
+        tried: &mut Vec<String>,
+        refused: &mut NotRun,
+    ) -> Option<Place> {
+        loop {
+            match self.take_reader(floor, tried).await {
+                Ok(place) => return place,
+                Err(reason) => *refused = reason,
+            }
+        }
+    }
+
     /// Takes a connection to the best server that has not been tried; none if all have been.
-    pub(super) async fn take_reader(
+    async fn take_reader(
         &self,
         floor: Position,
         tried: &mut Vec<String>,
--- a/crates/spurpier-pipeline/src/unit/transaction.rs
+++ b/crates/spurpier-pipeline/src/unit/transaction.rs
@@ -180,13 +180,8 @@
         let mut tried = Vec::new();
         let mut refused = NotRun::NoServer;
         for _ in 0..ATTEMPTS {
-            let place = match self.take_reader(floor, &mut tried).await {
-                Ok(Some(place)) => place,
-                Ok(None) => break,
-                Err(reason) => {
-                    refused = reason;
-                    continue;
-                }
+            let Some(place) = self.next_reader(floor, &mut tried, &mut refused).await else {
+                break;
             };
             let limit = self.opening_end();
             match self.open_behind(place, work, after(floor), limit).await {
--- a/crates/spurpier-pipeline/src/unit/write.rs
+++ b/crates/spurpier-pipeline/src/unit/write.rs
@@ -13,6 +13,7 @@
 impl Unit {
     /// Runs a write on the lead.
     pub async fn write(&self, work: &Work) -> Done {
+        self.context.note_first_attempt();
         let mut refused = NotRun::NoLead;
         for _ in 0..ATTEMPTS {
             let place = match self.take_lead(self.times.wait_until).await {
@@ -40,7 +41,7 @@
                 }
             };
             refused = self.note_refusal(&server, class);
-            if self.context.clock.now() >= self.times.wait_until {
+            if self.context.clock.now() >= self.times.wait_until || !self.context.may_retry() {
                 break;
             }
             self.note_retry(&work.id, &server.instance, "refused");
