Make no further attempt at a call that the deadline would cut short

The pause before a retry could end just before the call's deadline; the attempt then had next to no time, was cut off here, and its loss hid why the others had failed. No run shows the old failure deterministically: the cause is read from the code and the error that was told.

--- a/crates/spurpier/src/platform/client.rs
+++ b/crates/spurpier/src/platform/client.rs
@@ -22,6 +22,8 @@
 
 const FIRST_PAUSE: Duration = Duration::from_millis(25);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// A further attempt is made only if this part of the call's time, one in so many, is left for it.
+const ATTEMPT_SHARE: u32 = 5;
 
 /// The pause asked for when a rate limit gives none.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -239,7 +241,9 @@
             if let PlatformError::RateLimited { retry_after } = error {
                 pause += retry_after;
             }
-            let is_in_time = Instant::now() + pause < deadline;
+            // An attempt that is cut short by the deadline would only hide why the others failed.
+            let room = self.shared.timeout / ATTEMPT_SHARE;
+            let is_in_time = Instant::now() + pause + room < deadline;
             if !error.is_transient() || !is_in_time || !self.shared.try_retry() {
                 return Err(report);
             }
