--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -1,6 +1,7 @@
 //! What all sessions and tasks of a node share.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -53,7 +54,7 @@
     /// How many nodes share the servers' connections.
     pub nodes: AtomicUsize,
     /// The other nodes' internal addresses by name.
-    pub peers: Mutex<HashMap<String, std::net::SocketAddr>>,
+    pub peers: Mutex<HashMap<String, SocketAddr>>,
     /// When the store last answered.
     pub store_answered_at: Mutex<Timestamp>,
     /// Whether the servers have been read once.
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -26,8 +26,6 @@
 const PROVING_LIMIT: Duration = Duration::from_millis(350);
 /// For how long all proofs must have failed before others are asked.
 const PATIENCE: Duration = Duration::from_millis(200);
-/// Messages in a row without an answer from which on a server counts as silent.
-const SILENCES: u32 = 2;
 /// The pause between two looks of a case.
 const CASE_PAUSE: Duration = Duration::from_millis(120);
 /// How long a new primary may take to lead after its order was taken.
@@ -148,7 +146,9 @@
         if self.group.servers().is_empty() {
             return Need::Nothing;
         }
-        if proven == Err(NotRun::NoConnection) && !lead.is_some_and(|lead| is_silent(&lead)) {
+        if proven == Err(NotRun::NoConnection)
+            && !lead.is_some_and(|lead| lead.health().is_silent())
+        {
             // All connections are at work: that tells of load, not of a lost primary.
             return Need::Patience;
         }
@@ -262,11 +262,6 @@
     }
 }
 
-/// Whether a server has left several messages in a row unanswered.
-fn is_silent(server: &Server) -> bool {
-    server.health().silences >= SILENCES
-}
-
 fn lead_name(server: Option<&Server>) -> &str {
     server.map_or("none", |server| server.instance.as_str())
 }
--- a/crates/spurpier-pipeline/src/follow.rs
+++ b/crates/spurpier-pipeline/src/follow.rs
@@ -77,20 +77,19 @@
 
     /// Takes the table from another node, if none was ever read.
     async fn take_from_seeds(&mut self, sink: &mut impl RowSink) {
-        if std::mem::replace(&mut self.knows_rows, true) {
+        if self.knows_rows {
             return;
         }
-        match ask_seeds(&self.context, self.table).await {
-            Some(rows) => {
-                log_event!(
-                    events::TABLE_HANDED_ON,
-                    table = format!("{:?}", self.table),
-                    rows = rows.len()
-                );
-                self.take_all(sink, &rows, 0);
-            }
-            None => self.knows_rows = false,
-        }
+        let Some(rows) = ask_seeds(&self.context, self.table).await else {
+            return;
+        };
+        log_event!(
+            events::TABLE_HANDED_ON,
+            table = format!("{:?}", self.table),
+            rows = rows.len()
+        );
+        self.take_all(sink, &rows, 0);
+        self.knows_rows = true;
     }
 
     /// Reads the whole table, as often as it takes; until then another node's will do.
--- a/crates/spurpier-pipeline/src/server/health.rs
+++ b/crates/spurpier-pipeline/src/server/health.rs
@@ -12,6 +12,9 @@
 /// For how long a silent or full server is passed over.
 const AVOIDANCE: Duration = Duration::from_millis(250);
 
+/// Messages in a row without an answer from which on a server counts as silent.
+const SILENT_AFTER: u32 = 2;
+
 /// What the exchanges with a server have shown.
 #[derive(Debug, Clone)]
 pub struct Health {
@@ -56,6 +59,11 @@
         }
     }
 
+    /// Whether it has left several messages in a row unanswered.
+    pub fn is_silent(&self) -> bool {
+        self.silences >= SILENT_AFTER
+    }
+
     /// Takes in how long a read took.
     pub fn note_time(&mut self, taken: Duration) {
         let kept = self.answer_time * (16 - NEWEST_WEIGHT) / 16;
--- a/crates/spurpier-pipeline/src/unit/lead.rs
+++ b/crates/spurpier-pipeline/src/unit/lead.rs
@@ -6,7 +6,7 @@
 use spurpier_core::position::Position;
 use spurpier_core::time::Timestamp;
 
-use super::attempt::{Failure, Place, own_attempt};
+use super::attempt::{Place, own_attempt};
 use super::{NotRun, Unit};
 use crate::context::Context;
 use crate::group::Group;
@@ -17,10 +17,8 @@
 const BEGIN_LIMIT: Duration = Duration::from_millis(500);
 /// How often a unit that waits for a lead looks again.
 const RECHECK: Duration = Duration::from_millis(40);
-/// The pause after a server refused one more connection.
-const CONNECTION_PAUSE: Duration = Duration::from_millis(20);
-/// Messages in a row that went unanswered, from which on a server is left to the watch.
-const SILENT_AFTER: u32 = 2;
+/// The pause after a server refused a connection or the opening of a transaction.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(20);
 
 /// A transaction that the lead has opened.
 pub struct Begun {
@@ -48,7 +46,7 @@
                 Ok(lease) => return Ok(Place::new(server, lease)),
                 Err(AcquireError::Full) => return Err(NotRun::NoConnection),
                 Err(AcquireError::Open(OpenError::Refused(ErrorClass::TooManyConnections))) => {
-                    tokio::time::sleep(CONNECTION_PAUSE).await;
+                    tokio::time::sleep(REFUSAL_PAUSE).await;
                     missing = NotRun::NoConnection;
                 }
                 Err(AcquireError::Open(_)) => {
@@ -69,7 +67,7 @@
 /// Whether a server is worth asking: not one that has just left several messages unanswered.
 fn answers(server: &Server, now: Timestamp) -> bool {
     let health = server.health();
-    health.silences < SILENT_AFTER || health.avoided_until <= now
+    !health.is_silent() || health.avoided_until <= now
 }
 
 /// Has the lead open a transaction that may write, which proves the lead; at most until `until`.
@@ -102,7 +100,6 @@
                 }
                 _ => NotRun::ServerBusy,
             },
-            (_, Err(Failure::NotSent | Failure::Broken)) => NotRun::NoLead,
             (_, Err(_)) => NotRun::NoLead,
         };
         if clock.now() >= until {
--- a/crates/spurpier-pipeline/src/unit/read.rs
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -10,9 +10,8 @@
 use super::attempt::{Answered, Failure, Manner, Place};
 use super::lead::renew_proof;
 use super::work::Work;
-use super::write::outside_transaction;
 use super::{Done, NotRun, Unit};
-use crate::ports::{Answer, ErrorClass};
+use crate::ports::{Answer, ErrorClass, TransactionState};
 use crate::server::{AcquireError, OpenError, Server};
 
 /// Servers that one read tries.
@@ -232,6 +231,12 @@
     }
 }
 
+/// An answer in the words of a session that stands outside a transaction.
+fn outside_transaction(mut answer: Answer) -> Answer {
+    answer.state = TransactionState::Idle;
+    answer
+}
+
 /// A floor as a statement carries it; the start of the log needs none.
 pub(super) fn after(floor: Position) -> Option<Position> {
     (floor != Position::ZERO).then_some(floor)
--- a/crates/spurpier-pipeline/src/unit/transaction.rs
+++ b/crates/spurpier-pipeline/src/unit/transaction.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use spurpier_core::position::Position;
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
 
@@ -146,12 +147,7 @@
 
     /// Drops the transaction; the server is told.
     pub async fn roll_back(mut self) {
-        if let Some(mut place) = self.place.take()
-            && let Ok(connection) = place.connection()
-        {
-            // A connection that breaks here is closed, which drops the transaction too.
-            let _ = connection.roll_back().await;
-        }
+        self.expire().await;
     }
 
     /// Gives the connection up: the server drops the transaction, and only its end is taken.
@@ -159,9 +155,9 @@
         if let Some(mut place) = self.place.take()
             && let Ok(connection) = place.connection()
         {
+            // A connection that breaks here is closed, which drops the transaction too.
             let _ = connection.roll_back().await;
         }
-        self.failed = true;
     }
 
     /// Gives the unit new limits in time, for its next statement.
@@ -214,7 +210,7 @@
         &self,
         place: Place,
         work: &Work,
-        floor: Option<spurpier_core::position::Position>,
+        floor: Option<Position>,
         until: Timestamp,
     ) -> Result<Place, NotRun> {
         let server = Arc::clone(&place.server);
--- a/crates/spurpier-pipeline/src/unit/write.rs
+++ b/crates/spurpier-pipeline/src/unit/write.rs
@@ -5,7 +5,8 @@
 use super::attempt::{Answered, Failure, Manner};
 use super::work::Work;
 use super::{Done, NotRun, Unit};
-use crate::ports::{Answer, ErrorClass};
+use crate::ports::ErrorClass;
+use crate::server::Server;
 
 /// Attempts after which a refusing lead's answer is passed on.
 const ATTEMPTS: usize = 3;
@@ -50,7 +51,7 @@
     }
 
     /// Takes in a server's promise that a statement did not run there.
-    pub(super) fn note_refusal(&self, server: &crate::server::Server, class: ErrorClass) -> NotRun {
+    pub(super) fn note_refusal(&self, server: &Server, class: ErrorClass) -> NotRun {
         let now = self.context.clock.now();
         match class {
             ErrorClass::ReadOnly => {
@@ -69,9 +70,3 @@
         }
     }
 }
-
-/// An answer in the words of a session that stands outside a transaction.
-pub(super) fn outside_transaction(mut answer: Answer) -> Answer {
-    answer.state = crate::ports::TransactionState::Idle;
-    answer
-}
