Ask before a hand-over who leads, and keep it to synchronous replicas

Cause, found by reading: (1) a leaving primary stepped down for the replica that had told the most, also if a silent one may have held more with synchronous replicas, and the order went out after a second although the successor lacked a part; (2) a decision that came after another node's would have stepped down a server that led no more and chosen again among all, the new primary included. Ruled out: leaving it to the token (a newer decision has the higher one and is carried out). A decision without a successor is made anew after 0.4 s, not 0.1.

--- a/crates/spurpier-pipeline/src/duty/successor.rs
+++ b/crates/spurpier-pipeline/src/duty/successor.rs
@@ -12,7 +12,7 @@
 use crate::events;
 use crate::group::Group;
 use crate::ports::{
-    FencingToken, Promotion, PromotionAnswer, ServerRequest, ServerStatus, StoreError,
+    FencingToken, Promotion, PromotionAnswer, ServerRequest, ServerRole, ServerStatus, StoreError,
 };
 use crate::server::{Server, Values};
 use crate::unit::{Place, own_attempt};
@@ -122,6 +122,10 @@
 
 /// Lets a replica take over from a primary that leaves, without losing a commit: the primary
 /// steps down, and the successor receives all that it has.
+///
+/// Nothing is done if the former primary does not lead any more: another node's decision was
+/// faster. With synchronous replicas the primary steps down only if a successor surely holds what
+/// was acknowledged so far, and the order is given only once that one has the rest.
 pub async fn hand_over(
     context: &Context,
     group: &Group,
@@ -129,13 +133,25 @@
     token: FencingToken,
 ) -> Option<Result<PromotionAnswer, StoreError>> {
     let told = ask_replicas(context, group, Some(former), ServerRequest::Status).await;
-    let successor = choose(&told, 0)?;
+    let synchronous = group.synchronous_replicas();
+    let successor = choose(&told, synchronous)?;
     let status = ask(context, former, ServerRequest::Status).await;
+    if status
+        .as_ref()
+        .is_some_and(|status| status.role == ServerRole::Replica)
+    {
+        return None;
+    }
     let term = status.map_or_else(|| newest_term(&told), |status| status.term);
     let request = ServerRequest::StepDown { term: term + 1 };
-    if let Some(status) = ask(context, former, request).await {
-        await_position(context, &successor, status.received).await;
+    let has_all = match ask(context, former, request).await {
+        Some(status) => await_position(context, &successor, status.received).await,
+        None => false,
+    };
+    if synchronous > 0 && !has_all {
+        return None;
     }
+    // A successor that is too far behind takes over all the same: the group must serve.
     Some(order(context, group, &successor, token).await)
 }
 
@@ -144,8 +160,8 @@
     statuses.map(|status| status.term).max().unwrap_or(0)
 }
 
-/// Waits until a server has received a position, for a while.
-async fn await_position(context: &Context, server: &Arc<Server>, position: Position) {
+/// Waits until a server has received a position, for a while; tells whether it has.
+async fn await_position(context: &Context, server: &Arc<Server>, position: Position) -> bool {
     let waiting = async {
         loop {
             let status = ask(context, server, ServerRequest::Status).await;
@@ -155,8 +171,7 @@
             tokio::time::sleep(STATUS_PAUSE).await;
         }
     };
-    // A successor that is too far behind takes over all the same: the group must serve.
-    let _ = timeout(CATCH_UP_LIMIT, waiting).await;
+    timeout(CATCH_UP_LIMIT, waiting).await.is_ok()
 }
 
 async fn order(
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -28,6 +28,8 @@
 const PATIENCE: Duration = Duration::from_millis(200);
 /// The pause between two looks of a case.
 const CASE_PAUSE: Duration = Duration::from_millis(120);
+/// The pause after a decision that found no successor.
+const UNDECIDED_PAUSE: Duration = Duration::from_millis(400);
 /// How long a new primary may take to lead after its order was taken.
 const TAKE_OVER_LIMIT: Duration = Duration::from_millis(2_500);
 
@@ -230,7 +232,9 @@
             _ => replace_lost(context, group, former.as_deref(), token).await,
         };
         match ordered {
-            Some(Ok(PromotionAnswer::Refused)) | None => {}
+            Some(Ok(PromotionAnswer::Refused)) => {}
+            // No successor is to be had yet; each decision costs a call.
+            None => tokio::time::sleep(UNDECIDED_PAUSE).await,
             // An order without an answer may be carried out all the same.
             Some(_) => self.await_take_over(former.as_deref()).await,
         }
