--- a/crates/spurpier-core/src/lead/failover.rs
+++ b/crates/spurpier-core/src/lead/failover.rs
@@ -16,7 +16,8 @@
 }
 
 impl Sight {
-    fn sees_primary(self) -> bool {
+    /// Whether the node sees the primary serve.
+    pub fn sees_primary(self) -> bool {
         self.proven_ago.is_some_and(|ago| ago < PROOF_VALIDITY)
     }
 }
--- /dev/null
+++ b/crates/spurpier-core/src/lead/homes.rs
@@ -0,0 +1,57 @@
+//! Which nodes are the homes of a group: those that hold the connections to its servers.
+//!
+//! A server takes few connections from all nodes together. Where they do not go round, only some
+//! nodes of each zone connect to a group's servers, and the others hand their units to one of
+//! these. Every node ranks the same nodes in the same order, by weighted rendezvous, so that a
+//! node that comes or goes moves only the groups in whose first ranks it stands.
+
+use crate::homes::{rendezvous_score, subject_digest};
+use crate::membership::NodeKey;
+
+/// Every node is a home where each has at least so many connections to each server: no unit is
+/// forwarded, and the loss of a node takes no other node's units with it.
+const SHARE_OF_EVERY_NODE: usize = 3;
+/// Otherwise a home has so many: with fewer, transactions that rest on their connections leave
+/// none for single statements, and with more, fewer nodes carry the group's work.
+const SHARE_OF_A_HOME: usize = 6;
+
+/// A node as it is ranked.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RankedNode {
+    /// The digest of its name.
+    pub key: NodeKey,
+    /// How much it can do beside the others; above zero.
+    pub weight: f64,
+}
+
+/// How many homes a group has in each zone, for so many connections to each server that `nodes`
+/// in `zones` share; at most all nodes of the zone, at least one.
+pub fn homes_per_zone(connections: usize, nodes: usize, zones: usize) -> usize {
+    if nodes * SHARE_OF_EVERY_NODE <= connections {
+        return nodes.max(1);
+    }
+    let homes = connections / SHARE_OF_A_HOME;
+    (homes / zones.max(1)).max(1)
+}
+
+/// The order in which the nodes of a zone are homes of a group: indices, best first.
+pub fn rank_homes(group: &str, nodes: &[RankedNode]) -> Vec<usize> {
+    let digest = subject_digest(group);
+    let mut order: Vec<(f64, NodeKey, usize)> = nodes
+        .iter()
+        .enumerate()
+        .map(|(index, node)| (weighted_score(digest, node), node.key, index))
+        .collect();
+    order.sort_by(|left, right| right.0.total_cmp(&left.0).then(right.1.cmp(&left.1)));
+    order.into_iter().map(|(_, _, index)| index).collect()
+}
+
+/// Weighted rendezvous: a node with twice the weight ranks first for twice as many groups.
+fn weighted_score(digest: u64, node: &RankedNode) -> f64 {
+    /// The bits of a hash that a floating-point number holds exactly.
+    const EXACT_BITS: u32 = 53;
+    let hash = rendezvous_score(digest, node.key) >> (u64::BITS - EXACT_BITS);
+    // Above zero and below one for every hash.
+    let uniform = (hash as f64 + 0.5) / (1_u64 << EXACT_BITS) as f64;
+    -node.weight / uniform.ln()
+}
--- a/crates/spurpier-core/src/lead/mod.rs
+++ b/crates/spurpier-core/src/lead/mod.rs
@@ -9,8 +9,10 @@
 mod duty;
 mod evidence;
 mod failover;
+mod homes;
 
 pub use choice::{Distance, ServerLoad, choose_read_server};
 pub use duty::{DutyRow, DutyStep, HolderRecord, next_step};
 pub use evidence::{LeadEvidence, OwnCommit, Proof, read_floor};
 pub use failover::{Candidate, Missing, Sight, Verdict, choose_successor, judge};
+pub use homes::{RankedNode, homes_per_zone, rank_homes};
--- a/crates/spurpier-core/tests/lead.rs
+++ b/crates/spurpier-core/tests/lead.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
+use spurpier_core::homes::subject_digest;
 use spurpier_core::lead::{
     Candidate, Distance, DutyRow, DutyStep, HolderRecord, LeadEvidence, Missing, OwnCommit, Proof,
-    ServerLoad, Sight, Verdict, choose_read_server, choose_successor, judge, next_step, read_floor,
+    RankedNode, ServerLoad, Sight, Verdict, choose_read_server, choose_successor, homes_per_zone,
+    judge, next_step, rank_homes, read_floor,
 };
+use spurpier_core::membership::NodeKey;
 use spurpier_core::position::Position;
 use spurpier_core::time::Timestamp;
 
@@ -301,3 +304,46 @@
     assert_eq!((first.token, second.token, third.token), (1, 2, 3));
     assert_eq!(third.holder, "b");
 }
+
+fn nodes(count: u64, weight: impl Fn(u64) -> f64) -> Vec<RankedNode> {
+    (0..count)
+        .map(|index| RankedNode {
+            key: NodeKey(subject_digest(&format!("node-{index}"))),
+            weight: weight(index),
+        })
+        .collect()
+}
+
+#[test]
+fn a_node_that_goes_moves_only_the_groups_that_it_leads() {
+    let all = nodes(12, |_| 1.0);
+    let fewer = &all[..11];
+    for group in 0..200 {
+        let group = format!("group-{group}");
+        let before = rank_homes(&group, &all);
+        let after = rank_homes(&group, fewer);
+        let kept: Vec<usize> = before.into_iter().filter(|index| *index != 11).collect();
+        assert_eq!(after, kept, "{group}");
+    }
+}
+
+#[test]
+fn a_node_of_more_weight_is_home_of_more_groups() {
+    let all = nodes(10, |index| if index == 0 { 4.0 } else { 1.0 });
+    let mut first_of = [0_u32; 10];
+    for group in 0..1_300 {
+        first_of[rank_homes(&format!("group-{group}"), &all)[0]] += 1;
+    }
+    // 4 of 13 parts are 400 groups, 1 of 13 is 100; the standard deviation is 17 and 10.
+    assert!((330..=470).contains(&first_of[0]), "{first_of:?}");
+    assert!(first_of[1..].iter().all(|count| (60..=140).contains(count)));
+}
+
+#[test]
+fn every_node_is_a_home_where_connections_go_round() {
+    assert_eq!(homes_per_zone(32, 7, 3), 7, "at most all of a zone");
+    assert_eq!(homes_per_zone(32, 10, 3), 10);
+    assert_eq!(homes_per_zone(36, 73, 6), 1);
+    assert_eq!(homes_per_zone(100, 73, 6), 2);
+    assert_eq!(homes_per_zone(1, 73, 6), 1, "at least one");
+}
--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -1,8 +1,6 @@
 //! What all sessions and tasks of a node share.
 
-use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
-use std::sync::atomic::AtomicUsize;
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -11,11 +9,14 @@
 use spurpier_core::time::Timestamp;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
 use crate::configuration::InForce;
+use crate::forward::Links;
 use crate::group::Group;
 use crate::handed_on::KnownRows;
+use crate::homes::{GroupHomes, Homes};
 use crate::log_budget::LogBudget;
 use crate::ports::{ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect};
 use crate::settings::PipelineSettings;
@@ -31,6 +32,9 @@
     burst: 150,
 };
 
+/// Connections that a server is taken to allow before the configuration is known.
+const UNKNOWN_LIMIT: usize = 8;
+
 /// What all sessions and tasks of a node share.
 pub struct Context {
     /// The node's settings.
@@ -51,10 +55,10 @@
     pub configuration: watch::Sender<Option<Arc<InForce>>>,
     /// All groups by name.
     pub groups: Mutex<BTreeMap<String, Arc<Group>>>,
-    /// How many nodes share the servers' connections.
-    pub nodes: AtomicUsize,
-    /// The other nodes' internal addresses by name.
-    pub peers: Mutex<HashMap<String, SocketAddr>>,
+    /// The other nodes, and which nodes are the homes of each group.
+    pub homes: Homes,
+    /// The connections to other nodes that take forwarded units.
+    pub links: Links,
     /// When the store last answered.
     pub store_answered_at: Mutex<Timestamp>,
     /// Whether the servers have been read once.
@@ -65,6 +69,8 @@
     pub known_rows: KnownRows,
     /// Bounds the log lines of single requests.
     pub log_budget: LogBudget,
+    /// Work of other nodes that runs here.
+    pub forwarded: TaskTracker,
     /// Cancelled when the drain begins.
     pub draining: CancellationToken,
     /// Cancelled when sessions take no further statement and open transactions are ended.
@@ -83,6 +89,12 @@
         group
     }
 
+    /// The group of this name; none if nothing has told of it.
+    pub fn known_group(&self, name: &str) -> Option<Arc<Group>> {
+        let groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
+        groups.get(name).map(Arc::clone)
+    }
+
     /// All groups.
     pub fn all_groups(&self) -> Vec<Arc<Group>> {
         let groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
@@ -94,6 +106,19 @@
         self.configuration.borrow().clone()
     }
 
+    /// The homes of a group.
+    pub fn homes_of(&self, group: &str) -> Arc<GroupHomes> {
+        self.homes.of(group, self.usable_connections(group))
+    }
+
+    /// The connections that all nodes together may open to each server of a group.
+    ///
+    /// One in ten is left for nodes that have not taken in yet which nodes are homes.
+    pub fn usable_connections(&self, group: &str) -> usize {
+        let known = self.in_force().and_then(|known| known.connections(group));
+        known.unwrap_or(UNKNOWN_LIMIT) * 9 / 10
+    }
+
     /// How far a zone is.
     pub fn distance(&self, zone: &str) -> Distance {
         let node = &self.settings.node;
--- a/crates/spurpier-pipeline/src/directory.rs
+++ b/crates/spurpier-pipeline/src/directory.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use spurpier_events::log_event;
@@ -15,9 +14,6 @@
 use crate::ports::{Row, ServerEntry};
 use crate::server::{Listing, Pool, Server, Target};
 
-/// Connections that a server is taken to allow before the configuration is known.
-const UNKNOWN_LIMIT: usize = 8;
-
 /// Puts each newer configuration into force.
 pub struct ConfigurationSink(pub Arc<Context>);
 
@@ -221,16 +217,15 @@
 
 /// This node's share of the connections to each server of a group.
 ///
-/// One in ten is left for nodes that come before all others have taken in the new count. A node
-/// that has just started takes two thirds of it: if the machines lost power, the servers still hold the
-/// connections from before.
+/// The homes of the group share them; a node that is none may open one, for questions to servers.
+/// A node that has just started takes two thirds of its share: if the machines lost power, the
+/// servers still hold the connections from before.
 fn connection_share(context: &Context, group: &str) -> usize {
-    let known = context
-        .in_force()
-        .and_then(|known| known.connections(group));
-    let all = known.unwrap_or(UNKNOWN_LIMIT);
-    let nodes = context.nodes.load(Ordering::Relaxed).max(1);
-    let share = all * 9 / 10 / nodes;
+    let homes = context.homes_of(group);
+    if !homes.is_own {
+        return 1;
+    }
+    let share = context.usable_connections(group) / homes.count.max(1);
     let share = if context.clock.runs_for() < FORMER_CONNECTIONS {
         share * 2 / 3
     } else {
--- a/crates/spurpier-pipeline/src/duty/messages.rs
+++ b/crates/spurpier-pipeline/src/duty/messages.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use nanoserde::{DeBin, SerBin};
+use spurpier_core::position::Position;
 
 /// Says that no proof of lead is known.
 const NEVER: u32 = u32::MAX;
@@ -24,6 +25,8 @@
         /// How long ago the message left that proved the lead last, in milliseconds; the
         /// greatest number if none is known.
         proven_ago_ms: u32,
+        /// The position that it showed.
+        position: Position,
     },
     /// Tells the holder of the duty that a group needs a decision.
     Wanted {
--- a/crates/spurpier-pipeline/src/duty/peers.rs
+++ b/crates/spurpier-pipeline/src/duty/peers.rs
@@ -8,12 +8,14 @@
 
 use nanoserde::{DeBin, SerBin};
 use spurpier_core::lead::Sight;
+use spurpier_core::position::Position;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
 use super::messages::{PeerMessage, decode_ago, encode_ago};
 use crate::context::Context;
+use crate::group::Group;
 use crate::unit::renew_proof;
 
 /// The greatest datagram that is taken, in bytes.
@@ -101,11 +103,12 @@
         // Without a proof the older one is told.
         let _ = renew_proof(&self.context, &group, fresh_since, until).await;
         let now = clock.now();
-        let proven_ago = group.proven_at().map(|proven| now.since(proven));
-        let proven_ago_ms = encode_ago(proven_ago);
+        let proof = group.own_proof();
+        let proven_ago = proof.map(|proof| now.since(proof.sent_at));
         let answer = PeerMessage::Sight {
             number,
-            proven_ago_ms,
+            proven_ago_ms: encode_ago(proven_ago),
+            position: proof.map_or(Position::ZERO, |proof| proof.position),
         };
         self.send(&answer, from).await;
     }
@@ -115,30 +118,50 @@
         let _ = self.socket.send_to(&message.serialize_bin(), to).await;
     }
 
-    /// What the other nodes see of a group's primary, and how many were asked.
-    pub async fn sights(&self, group: &str) -> (Vec<Sight>, usize) {
-        let addresses = self.others();
+    /// What the other homes of a group see of its primary, and how many were asked.
+    ///
+    /// Their proofs are taken in: what proved the lead to one node holds for all. A home that sees
+    /// the primary becomes this node's way to it.
+    pub async fn sights(&self, group: &Group) -> (Vec<Sight>, usize) {
+        let homes = &self.context.homes_of(&group.name).others;
+        let addresses: Vec<SocketAddr> = homes.iter().map(|home| home.address).collect();
         let question = |number| PeerMessage::AskSight {
             number,
-            group: group.to_owned(),
+            group: group.name.clone(),
         };
+        let asked_at = self.context.clock.now();
         let answers = self.ask(question, &addresses).await;
-        let sights = answers.into_values().filter_map(|answer| match answer {
-            PeerMessage::Sight { proven_ago_ms, .. } => Some(Sight {
-                proven_ago: decode_ago(proven_ago_ms),
-            }),
-            _ => None,
-        });
-        (sights.collect(), addresses.len())
+        let mut sights = Vec::new();
+        let mut relay = None;
+        for home in homes {
+            let Some(PeerMessage::Sight {
+                proven_ago_ms,
+                position,
+                ..
+            }) = answers.get(&home.address)
+            else {
+                continue;
+            };
+            let proven_ago = decode_ago(*proven_ago_ms);
+            let sight = Sight { proven_ago };
+            if let Some(ago) = proven_ago {
+                // The answer was given after the question was sent.
+                group.note_told_proof(asked_at.before(ago), *position);
+            }
+            if relay.is_none() && sight.sees_primary() {
+                relay = Some(home.clone());
+            }
+            sights.push(sight);
+        }
+        if let Some(relay) = relay {
+            group.set_relay(relay, self.context.clock.now());
+        }
+        (sights, addresses.len())
     }
 
     /// Whether the holder of the duty answers that it sees to a group.
     pub async fn tell_holder(&self, holder: &str, group: &str) -> bool {
-        let address = {
-            let peers = &self.context.peers;
-            let peers = peers.lock().unwrap_or_else(PoisonError::into_inner);
-            peers.get(holder).copied()
-        };
+        let address = self.context.homes.address(holder);
         let question = |number| PeerMessage::Wanted {
             number,
             group: group.to_owned(),
@@ -149,14 +172,6 @@
         }
     }
 
-    fn others(&self) -> Vec<SocketAddr> {
-        let own = &self.context.settings.node.name;
-        let peers = &self.context.peers;
-        let peers = peers.lock().unwrap_or_else(PoisonError::into_inner);
-        let others = peers.iter().filter(|(name, _)| *name != own);
-        others.map(|(_, address)| *address).collect()
-    }
-
     /// Sends a question until all have answered or the time is over.
     async fn ask(
         &self,
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -56,7 +56,12 @@
 }
 
 /// Whether a group may need a new primary.
+///
+/// Only the group's homes look after it, and nodes that stand in for them.
 fn is_in_doubt(context: &Context, group: &Group) -> bool {
+    if !context.homes_of(&group.name).is_own && !group.stands_in(context.clock.now()) {
+        return false;
+    }
     let Some(lead) = group.lead() else {
         return !group.servers().is_empty() && *context.directory_known.borrow();
     };
@@ -160,7 +165,7 @@
             return Need::Patience;
         }
         let claimant = self.claimant();
-        let (peers, asked) = self.peers.sights(&self.group.name).await;
+        let (peers, asked) = self.peers.sights(&self.group).await;
         let missing = Missing {
             missing_for,
             peers,
--- /dev/null
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -0,0 +1,164 @@
+//! Running a session's units: here, or at a home of their group.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use spurpier_core::time::Timestamp;
+use tokio::time::sleep_until;
+
+use super::link::{CallError, Link};
+use super::messages::{Call, CallHead, CalledSession, CalledWork, Reply, millis};
+use crate::homes::{GroupHomes, PeerNode};
+use crate::ports::{Effect, ErrorClass};
+use crate::unit::{Done, NotRun, Unit, Work};
+
+/// How much longer than the unit itself its caller waits for the reply.
+const REPLY_SLACK: Duration = Duration::from_millis(60);
+/// How often a caller looks whether the other node still runs.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// How a call at another node ended.
+pub(super) enum Outcome {
+    /// With a reply.
+    Replied(Reply),
+    /// It was not sent.
+    NotSent,
+    /// Without a reply; it may have been run.
+    Lost,
+}
+
+/// Runs a statement outside a transaction where its group's connections are.
+pub async fn run_single(unit: &Unit, work: &Work, effect: Effect) -> Done {
+    let homes = unit.context.homes_of(&unit.group.name);
+    if homes.is_own {
+        return run_at_home(unit, work, effect).await;
+    }
+    let mut was_lost = false;
+    for home in usable(unit, &homes) {
+        let Some(link) = connect(unit, &home).await else {
+            continue;
+        };
+        let call = single(unit, work, effect, false);
+        match call_within_time(unit, &link, call, effect == Effect::Read).await {
+            Outcome::Replied(Reply::Answered(answer)) => return Done::of_call(answer),
+            Outcome::Replied(Reply::NotTaken) | Outcome::NotSent => {}
+            Outcome::Lost if effect == Effect::Write => {
+                return Done::answer(unit.doubt(&work.id, ErrorClass::InDoubt, &home.name));
+            }
+            Outcome::Lost => {
+                was_lost = true;
+                unit.note_retry(&work.id, &home.name, "home_silent");
+                if !unit.context.may_retry() {
+                    break;
+                }
+            }
+        }
+    }
+    if unit.context.clock.now() >= unit.times.wait_until {
+        return Done::answer(if was_lost {
+            unit.doubt(&work.id, ErrorClass::Timeout, "no home")
+        } else {
+            unit.refuse(&work.id, NotRun::NoHome)
+        });
+    }
+    unit.group.stand_in(unit.context.clock.now());
+    run_at_home(unit, work, effect).await
+}
+
+/// Runs a statement on this node's connections, or at a node that reaches the lead if this one
+/// does not.
+pub(super) async fn run_at_home(unit: &Unit, work: &Work, effect: Effect) -> Done {
+    if unit.needs_lead(effect)
+        && let Some(relay) = unit.relay()
+        && let Some(link) = connect(unit, &relay).await
+    {
+        let call = single(unit, work, effect, true);
+        match call_within_time(unit, &link, call, effect == Effect::Read).await {
+            Outcome::Replied(Reply::Answered(answer)) => return Done::of_call(answer),
+            Outcome::Replied(Reply::NotTaken) | Outcome::NotSent => {}
+            Outcome::Lost if effect == Effect::Write => {
+                return Done::answer(unit.doubt(&work.id, ErrorClass::InDoubt, &relay.name));
+            }
+            Outcome::Lost => unit.note_retry(&work.id, &relay.name, "relay_silent"),
+        }
+    }
+    unit.run_here(work, effect).await
+}
+
+/// The other homes that have not just failed to answer, in the order in which they are tried.
+pub(super) fn usable(unit: &Unit, homes: &GroupHomes) -> Vec<PeerNode> {
+    let now = unit.context.clock.now();
+    let links = &unit.context.links;
+    let others = homes.others.iter();
+    others
+        .filter(|home| links.is_usable(home.address, now))
+        .cloned()
+        .collect()
+}
+
+pub(super) async fn connect(unit: &Unit, home: &PeerNode) -> Option<Arc<Link>> {
+    let context = &unit.context;
+    let until = unit.times.wait_until;
+    context
+        .links
+        .link(home.address, &context.clock, until)
+        .await
+}
+
+fn single(unit: &Unit, work: &Work, effect: Effect, relayed: bool) -> Call {
+    Call::Single {
+        head: head(unit, relayed),
+        work: CalledWork::from(work),
+        effect,
+    }
+}
+
+pub(super) fn head(unit: &Unit, relayed: bool) -> CallHead {
+    let route = &unit.route;
+    CallHead {
+        database: route.database.clone(),
+        group: route.group.clone(),
+        freshness: route.freshness.into(),
+        timeout_ms: millis(route.timeout),
+        target_ms: millis(route.target),
+        own_commit: unit.own_commit.map(|commit| commit.position),
+        session: session(unit),
+        relayed,
+    }
+}
+
+pub(super) fn session(unit: &Unit) -> CalledSession {
+    let waited = unit.times.waited(unit.context.clock.now());
+    CalledSession::new(waited, &unit.values)
+}
+
+/// Makes a call and waits for its reply until the unit's time is over; a call that may be made
+/// elsewhere is given up as soon as the other node is suspected to have stopped.
+pub(super) async fn call_within_time(
+    unit: &Unit,
+    link: &Link,
+    call: Call,
+    may_repeat: bool,
+) -> Outcome {
+    let clock = &unit.context.clock;
+    let end = unit.times.give_up + REPLY_SLACK;
+    let calling = link.call(call);
+    tokio::pin!(calling);
+    loop {
+        let look = end.min(clock.now() + LOOK);
+        tokio::select! {
+            biased;
+            reply = &mut calling => return match reply {
+                Ok(reply) => Outcome::Replied(reply),
+                Err(CallError::NotSent) => Outcome::NotSent,
+                Err(CallError::Lost) => Outcome::Lost,
+            },
+            () = sleep_until(clock.instant(look)) => {
+                let now: Timestamp = clock.now();
+                if now >= end || (may_repeat && link.is_suspect()) {
+                    return Outcome::Lost;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/forward/link.rs
@@ -0,0 +1,232 @@
+//! The caller's side of one connection to another node.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::messages::{Call, LinkMessage, Reply, VERSION};
+use super::stream::{MessageReader, prepare_socket, write_messages};
+
+/// How long opening a connection may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// How often the other node is asked whether it runs, while calls or transactions are open.
+const PING_INTERVAL: Duration = Duration::from_millis(150);
+/// After so long without any message behind one of ours, the node is passed over for new calls.
+const SUSPECT_AFTER: Duration = Duration::from_millis(400);
+/// After so long without any message behind one of ours, the connection is given up.
+const LOST_AFTER: Duration = Duration::from_millis(2_000);
+/// After so long without calls and transactions the connection is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+/// Messages that may wait to be written.
+const WRITE_CAPACITY: usize = 1_024;
+
+/// Why a call has no reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallError {
+    /// It was not sent.
+    NotSent,
+    /// The connection was lost; the call may have been run, or may be run yet.
+    Lost,
+}
+
+#[derive(Debug, Default)]
+struct Pending {
+    calls: HashMap<u64, oneshot::Sender<Reply>>,
+    /// Transactions that are open on the other node.
+    transactions: usize,
+    closed: bool,
+}
+
+/// A connection to another node that runs calls.
+#[derive(Debug)]
+pub struct Link {
+    writer: mpsc::Sender<LinkMessage>,
+    pending: Mutex<Pending>,
+    next_number: AtomicU64,
+    /// Since when a message has been sent and none has come; none while the node answers.
+    unanswered_since: Mutex<Option<Instant>>,
+    closed: CancellationToken,
+}
+
+impl Link {
+    /// Opens a connection; none if the node cannot be reached.
+    pub async fn connect(address: SocketAddr) -> Option<Arc<Self>> {
+        let stream = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
+        let stream = stream.ok()?.ok()?;
+        prepare_socket(&stream).ok()?;
+        let (reader, output) = stream.into_split();
+        let (writer, queue) = mpsc::channel(WRITE_CAPACITY);
+        writer.try_send(LinkMessage::Hello(VERSION)).ok()?;
+        let link = Arc::new(Link {
+            writer,
+            pending: Mutex::default(),
+            next_number: AtomicU64::new(1),
+            unanswered_since: Mutex::new(None),
+            closed: CancellationToken::new(),
+        });
+        tokio::spawn(write_messages(output, queue, link.closed.clone()));
+        tokio::spawn(Arc::clone(&link).run(reader));
+        Some(link)
+    }
+
+    /// Whether calls can be made.
+    pub fn is_open(&self) -> bool {
+        !self.closed.is_cancelled()
+    }
+
+    /// Whether the node has left pings without an answer for a while.
+    pub fn is_suspect(&self) -> bool {
+        !self.is_open() || self.silent_for() >= SUSPECT_AFTER
+    }
+
+    /// A number for a transaction, unique on this connection.
+    pub fn next_number(&self) -> u64 {
+        self.next_number.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Makes a call. Dropping the future tells the other node that nobody awaits it.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`].
+    pub async fn call(&self, call: Call) -> Result<Reply, CallError> {
+        let number = self.next_number();
+        let (sender, reply) = oneshot::channel();
+        {
+            let mut pending = self.pending();
+            if pending.closed {
+                return Err(CallError::NotSent);
+            }
+            pending.calls.insert(number, sender);
+        }
+        let _awaited = Awaited { link: self, number };
+        let message = LinkMessage::Call { number, call };
+        if self.writer.try_send(message).is_err() {
+            return Err(CallError::NotSent);
+        }
+        self.note_sent();
+        reply.await.map_err(|_| CallError::Lost)
+    }
+
+    /// Counts a transaction that has been opened on the other node.
+    pub fn open_transaction(&self) {
+        self.pending().transactions += 1;
+    }
+
+    /// Counts a transaction that is not open any more.
+    pub fn close_transaction(&self) {
+        let mut pending = self.pending();
+        pending.transactions = pending.transactions.saturating_sub(1);
+    }
+
+    /// Has the other node drop a transaction, if it still has it.
+    pub fn drop_transaction(&self, number: u64) {
+        let told = self.writer.try_send(LinkMessage::EndTransaction(number));
+        // The end of the connection ends all its transactions.
+        if told.is_err() {
+            self.closed.cancel();
+        }
+    }
+
+    fn note_sent(&self) {
+        self.unanswered().get_or_insert_with(Instant::now);
+    }
+
+    fn note_heard(&self) {
+        *self.unanswered() = None;
+    }
+
+    /// For how long the node has left all messages without an answer.
+    fn silent_for(&self) -> Duration {
+        let since = *self.unanswered();
+        since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
+    fn unanswered(&self) -> MutexGuard<'_, Option<Instant>> {
+        let since = self.unanswered_since.lock();
+        since.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_used(&self) -> bool {
+        let pending = self.pending();
+        pending.transactions > 0 || !pending.calls.is_empty()
+    }
+
+    fn pending(&self) -> MutexGuard<'_, Pending> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn run(self: Arc<Self>, reader: OwnedReadHalf) {
+        tokio::select! {
+            () = self.read(MessageReader::new(reader)) => {}
+            () = self.keep_alive() => {}
+            () = self.closed.cancelled() => {}
+        }
+        self.closed.cancel();
+        let mut pending = self.pending();
+        pending.closed = true;
+        // Each caller learns of the loss by the end of its channel.
+        pending.calls.clear();
+    }
+
+    async fn read(&self, mut reader: MessageReader) {
+        while let Some(message) = reader.next().await {
+            self.note_heard();
+            match message {
+                LinkMessage::Reply { number, reply } => {
+                    let caller = self.pending().calls.remove(&number);
+                    if let Some(caller) = caller {
+                        // A caller that is gone needs no reply.
+                        let _ = caller.send(reply);
+                    }
+                }
+                LinkMessage::Pong => {}
+                _ => return,
+            }
+        }
+    }
+
+    /// Returns when the other node stays silent, or the connection is not used for long.
+    async fn keep_alive(&self) {
+        let mut used_at = Instant::now();
+        loop {
+            tokio::time::sleep(PING_INTERVAL).await;
+            let silent_for = self.silent_for();
+            if silent_for >= LOST_AFTER {
+                return;
+            }
+            if self.is_used() || silent_for > Duration::ZERO {
+                used_at = Instant::now();
+                // A full queue holds enough that the node must answer.
+                let _ = self.writer.try_send(LinkMessage::Ping);
+                self.note_sent();
+            } else if used_at.elapsed() >= IDLE_LIMIT {
+                return;
+            }
+        }
+    }
+}
+
+/// A call whose reply is awaited; the other node is told when it is dropped before.
+struct Awaited<'a> {
+    link: &'a Link,
+    number: u64,
+}
+
+impl Drop for Awaited<'_> {
+    fn drop(&mut self) {
+        let was_waiting = self.link.pending().calls.remove(&self.number).is_some();
+        if was_waiting {
+            // If it cannot be told, the connection is lost or about to be.
+            let _ = self.link.writer.try_send(LinkMessage::Cancel(self.number));
+        }
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/forward/transaction.rs
@@ -0,0 +1,282 @@
+//! Transactions of a session, on this node's connections or at a home of their group.
+
+use std::sync::Arc;
+
+use super::caller::{Outcome, call_within_time, connect, head, session, usable};
+use super::link::Link;
+use super::messages::{Call, CalledWork, Reply};
+use crate::homes::PeerNode;
+use crate::ports::{Answer, Effect, ErrorClass, TransactionState};
+use crate::server::Values;
+use crate::unit::{Done, NotRun, OpenTransaction, Times, Unit, Work};
+
+/// A transaction that stands open.
+pub enum PlacedTransaction {
+    /// On a connection of this node.
+    Here(OpenTransaction),
+    /// On a connection of another node.
+    There(RemoteTransaction),
+}
+
+impl PlacedTransaction {
+    /// Opens a transaction where the group's connections are; gives the client's answer, and the
+    /// transaction if it is open.
+    pub async fn begin(unit: Unit, work: &Work, read_only: bool) -> (Answer, Option<Self>) {
+        let homes = unit.context.homes_of(&unit.group.name);
+        if homes.is_own {
+            return Self::begin_at_home(unit, work, read_only, true).await;
+        }
+        for home in usable(&unit, &homes) {
+            match begin_there(&unit, work, read_only, &home, false).await {
+                Begun::Open(link, number, answer) => {
+                    return opened(unit, link, number, home, answer);
+                }
+                Begun::Refused(answer) => return (answer, None),
+                Begun::NotTaken => {}
+            }
+        }
+        let now = unit.context.clock.now();
+        if now >= unit.times.wait_until {
+            return (unit.refuse(&work.id, NotRun::NoHome), None);
+        }
+        unit.group.stand_in(now);
+        Self::begin_at_home(unit, work, read_only, true).await
+    }
+
+    /// Opens a transaction on this node's connections, or at a node that reaches the lead if this
+    /// one does not and may hand it on.
+    pub async fn begin_at_home(
+        unit: Unit,
+        work: &Work,
+        read_only: bool,
+        may_relay: bool,
+    ) -> (Answer, Option<Self>) {
+        let needs_lead = !read_only || unit.needs_lead(Effect::Read);
+        if may_relay
+            && needs_lead
+            && let Some(relay) = unit.relay()
+        {
+            match begin_there(&unit, work, read_only, &relay, true).await {
+                Begun::Open(link, number, answer) => {
+                    return opened(unit, link, number, relay, answer);
+                }
+                Begun::Refused(answer) => return (answer, None),
+                Begun::NotTaken => {}
+            }
+        }
+        let (answer, transaction) = OpenTransaction::begin(unit, work, read_only).await;
+        (answer, transaction.map(PlacedTransaction::Here))
+    }
+
+    /// The state that the client is told.
+    pub fn state(&self) -> TransactionState {
+        match self {
+            PlacedTransaction::Here(transaction) => transaction.state(),
+            PlacedTransaction::There(transaction) => transaction.state(),
+        }
+    }
+
+    /// The group in whose log its commit will stand.
+    pub fn group_name(&self) -> String {
+        self.unit().group.name.clone()
+    }
+
+    fn unit(&self) -> &Unit {
+        match self {
+            PlacedTransaction::Here(transaction) => &transaction.unit,
+            PlacedTransaction::There(transaction) => &transaction.unit,
+        }
+    }
+
+    /// Takes in what the next statement must know of the session.
+    pub fn prepare(&mut self, values: &Values, times: impl FnOnce(&Unit) -> Times) {
+        let unit = match self {
+            PlacedTransaction::Here(transaction) => &mut transaction.unit,
+            PlacedTransaction::There(transaction) => &mut transaction.unit,
+        };
+        unit.values.clone_from(values);
+        unit.times = times(unit);
+    }
+
+    /// Runs a statement.
+    pub async fn run(&mut self, work: &Work, effect: Effect) -> Answer {
+        match self {
+            PlacedTransaction::Here(transaction) => {
+                transaction.run(work, effect == Effect::Write).await
+            }
+            PlacedTransaction::There(transaction) => transaction.run(work, effect).await,
+        }
+    }
+
+    /// Commits.
+    pub async fn commit(self, work: &Work) -> Done {
+        match self {
+            PlacedTransaction::Here(transaction) => transaction.commit(work).await,
+            PlacedTransaction::There(transaction) => transaction.commit(work).await,
+        }
+    }
+
+    /// Gives it up; then only its end is taken.
+    pub async fn expire(&mut self) {
+        match self {
+            PlacedTransaction::Here(transaction) => transaction.expire().await,
+            PlacedTransaction::There(transaction) => transaction.place = None,
+        }
+    }
+}
+
+/// How the opening at another node ended.
+enum Begun {
+    /// It stands open under this number.
+    Open(Arc<Link>, u64, Answer),
+    /// It was refused, or may stand open where nobody uses it.
+    Refused(Answer),
+    /// The node has not started it.
+    NotTaken,
+}
+
+async fn begin_there(
+    unit: &Unit,
+    work: &Work,
+    read_only: bool,
+    home: &PeerNode,
+    relayed: bool,
+) -> Begun {
+    let Some(link) = connect(unit, home).await else {
+        return Begun::NotTaken;
+    };
+    let transaction = link.next_number();
+    let call = Call::Begin {
+        head: head(unit, relayed),
+        work: CalledWork::from(work),
+        transaction,
+        read_only,
+    };
+    match call_within_time(unit, &link, call, true).await {
+        Outcome::Replied(Reply::Answered(answer)) => {
+            let (answer, _) = answer.into_parts();
+            if answer.outcome.is_ok() {
+                Begun::Open(link, transaction, answer)
+            } else {
+                Begun::Refused(answer)
+            }
+        }
+        Outcome::Replied(Reply::NotTaken) | Outcome::NotSent => Begun::NotTaken,
+        Outcome::Lost => {
+            // What may stand open there is dropped; nothing of the client's has run in it.
+            link.drop_transaction(transaction);
+            unit.note_retry(&work.id, &home.name, "home_silent");
+            Begun::NotTaken
+        }
+    }
+}
+
+fn opened(
+    unit: Unit,
+    link: Arc<Link>,
+    number: u64,
+    home: PeerNode,
+    answer: Answer,
+) -> (Answer, Option<PlacedTransaction>) {
+    link.open_transaction();
+    let place = Some(RemotePlace {
+        link,
+        number,
+        is_committed: false,
+    });
+    let transaction = RemoteTransaction { unit, home, place };
+    (answer, Some(PlacedTransaction::There(transaction)))
+}
+
+/// A transaction on a connection of another node.
+pub struct RemoteTransaction {
+    /// The unit that opened it.
+    unit: Unit,
+    home: PeerNode,
+    /// None after it has failed or was given up, when only its end is taken.
+    place: Option<RemotePlace>,
+}
+
+/// A transaction's place at the other node, which drops the transaction when this is dropped.
+struct RemotePlace {
+    link: Arc<Link>,
+    number: u64,
+    /// Whether the other node has ended it.
+    is_committed: bool,
+}
+
+impl Drop for RemotePlace {
+    fn drop(&mut self) {
+        self.link.close_transaction();
+        if !self.is_committed {
+            self.link.drop_transaction(self.number);
+        }
+    }
+}
+
+impl RemoteTransaction {
+    fn state(&self) -> TransactionState {
+        if self.place.is_some() {
+            TransactionState::Open
+        } else {
+            TransactionState::Failed
+        }
+    }
+
+    async fn run(&mut self, work: &Work, effect: Effect) -> Answer {
+        let Some(place) = self.place.take() else {
+            return Answer::error(ErrorClass::Malformed, "failed", TransactionState::Failed);
+        };
+        let call = Call::Within {
+            transaction: place.number,
+            session: session(&self.unit),
+            work: CalledWork::from(work),
+            effect,
+        };
+        match call_within_time(&self.unit, &place.link, call, false).await {
+            Outcome::Replied(Reply::Answered(answer)) => {
+                let (answer, _) = answer.into_parts();
+                if answer.state == TransactionState::Open {
+                    self.place = Some(place);
+                }
+                answer
+            }
+            Outcome::Replied(Reply::NotTaken) => self.aborted(work, "home_not_taken"),
+            Outcome::NotSent | Outcome::Lost => self.aborted(work, "home_lost"),
+        }
+    }
+
+    fn aborted(&self, work: &Work, why: &str) -> Answer {
+        self.unit.abort(&work.id, &self.home.name, why)
+    }
+
+    async fn commit(mut self, work: &Work) -> Done {
+        let Some(mut place) = self.place.take() else {
+            let text = "the transaction had failed";
+            let answer = Answer::error(ErrorClass::Aborted, text, TransactionState::Idle);
+            return Done::answer(answer);
+        };
+        let call = Call::Commit {
+            transaction: place.number,
+            session: session(&self.unit),
+            work: CalledWork::from(work),
+        };
+        match call_within_time(&self.unit, &place.link, call, false).await {
+            Outcome::Replied(Reply::Answered(answer)) => {
+                place.is_committed = true;
+                Done::of_call(answer)
+            }
+            Outcome::Replied(Reply::NotTaken) | Outcome::NotSent => {
+                let mut answer = self.aborted(work, "home_not_taken");
+                answer.state = TransactionState::Idle;
+                Done::answer(answer)
+            }
+            Outcome::Lost => {
+                let doubt = self
+                    .unit
+                    .doubt(&work.id, ErrorClass::InDoubt, &self.home.name);
+                Done::answer(doubt)
+            }
+        }
+    }
+}
--- a/crates/spurpier-pipeline/src/group.rs
+++ b/crates/spurpier-pipeline/src/group.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 
 use crate::events;
+use crate::homes::PeerNode;
 use crate::ports::ServerRole;
 use crate::server::Server;
 use spurpier_events::log_event;
@@ -17,14 +18,25 @@
 /// For how long a server that refused the lead is not asked again, unless its entry changes.
 const DENIAL: Duration = Duration::from_millis(150);
 
+/// For how long a node that reaches the lead is used in the place of this one.
+const RELAY_USE: Duration = Duration::from_millis(900);
+/// For how long a node that stood in for the homes looks after the group as they do.
+const STAND_IN: Duration = Duration::from_secs(3);
+
 #[derive(Debug, Default)]
 struct GroupInner {
     servers: BTreeMap<String, Arc<Server>>,
     lead: Option<String>,
     denied: HashMap<String, Timestamp>,
     evidence: LeadEvidence,
+    /// The newest proof that this node had itself.
+    own_proof: Option<Proof>,
     proving: bool,
     synchronous_replicas: usize,
+    /// A node that reaches the lead while this one does not, and until when it is used.
+    relay: Option<(PeerNode, Timestamp)>,
+    /// Until when this node, which is no home, stands in for homes that it cannot reach.
+    stands_in_until: Timestamp,
 }
 
 /// One group as this node knows it.
@@ -138,8 +150,14 @@
         let position = position.unwrap_or(Position::ZERO);
         let is_new = {
             let mut inner = self.lock();
-            inner.evidence.record(Proof { sent_at, position });
+            let proof = Proof { sent_at, position };
+            inner.evidence.record(proof);
+            let is_newest = inner.own_proof.is_none_or(|known| known.sent_at <= sent_at);
+            if is_newest {
+                inner.own_proof = Some(proof);
+            }
             inner.denied.remove(&server.instance);
+            inner.relay = None;
             let is_new = inner.lead.as_deref() != Some(server.instance.as_str());
             if is_new {
                 inner.lead = Some(server.instance.clone());
@@ -157,6 +175,17 @@
         self.notify();
     }
 
+    /// Takes in a proof that another node has told of.
+    pub fn note_told_proof(&self, sent_at: Timestamp, position: Position) {
+        self.lock().evidence.record(Proof { sent_at, position });
+        self.notify();
+    }
+
+    /// The newest proof that this node had itself.
+    pub fn own_proof(&self) -> Option<Proof> {
+        self.lock().own_proof
+    }
+
     /// Takes in that a server refused as one that does not lead.
     pub fn note_denial(&self, server: &Server, now: Timestamp) {
         let lost = {
@@ -182,6 +211,28 @@
         read_floor(&self.lock().evidence, since, own)
     }
 
+    /// Notes a node that reaches the lead while this one does not.
+    pub fn set_relay(&self, relay: PeerNode, now: Timestamp) {
+        self.lock().relay = Some((relay, now + RELAY_USE));
+    }
+
+    /// The node that reaches the lead while this one does not.
+    pub fn relay(&self, now: Timestamp) -> Option<PeerNode> {
+        let inner = self.lock();
+        let (relay, until) = inner.relay.as_ref()?;
+        (*until > now).then(|| relay.clone())
+    }
+
+    /// Takes in that this node runs units in the place of homes that it cannot reach.
+    pub fn stand_in(&self, now: Timestamp) {
+        self.lock().stands_in_until = now + STAND_IN;
+    }
+
+    /// Whether this node has just run units in the place of homes that it cannot reach.
+    pub fn stands_in(&self, now: Timestamp) -> bool {
+        self.lock().stands_in_until > now
+    }
+
     /// When the message of the newest proof left.
     pub fn proven_at(&self) -> Option<Timestamp> {
         self.lock().evidence.newest().map(|proof| proof.sent_at)
--- /dev/null
+++ b/crates/spurpier-pipeline/src/homes.rs
@@ -0,0 +1,209 @@
+//! The nodes as the store lists them, and which of them are the homes of each group.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use nanoserde::{DeBin, DeBinErr, SerBin};
+use spurpier_core::homes::subject_digest;
+use spurpier_core::lead::{Distance, RankedNode, homes_per_zone, rank_homes};
+use spurpier_core::membership::NodeKey;
+use spurpier_core::wire::{decode_address, decode_text, encode_address, encode_text};
+
+use crate::settings::PipelineSettings;
+
+/// The least weight that a node can have: every node can be a home.
+const LEAST_WEIGHT: f64 = 0.01;
+
+/// What a node tells of itself in the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NodeEntry {
+    /// Where other nodes reach it: datagrams and forwarded units.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// How much it can do beside the others.
+    pub weight: f64,
+}
+
+impl NodeEntry {
+    /// What the node with these settings tells of itself.
+    pub fn own(settings: &PipelineSettings) -> Self {
+        NodeEntry {
+            address: settings.listen.internal,
+            zone: settings.node.zone.clone(),
+            weight: settings.node.weight,
+        }
+    }
+}
+
+impl SerBin for NodeEntry {
+    fn ser_bin(&self, output: &mut Vec<u8>) {
+        encode_address(self.address, output);
+        encode_text(&self.zone, output);
+        self.weight.ser_bin(output);
+    }
+}
+
+impl DeBin for NodeEntry {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Self, DeBinErr> {
+        Ok(NodeEntry {
+            address: decode_address(offset, bytes)?,
+            zone: decode_text(offset, bytes)?.to_owned(),
+            weight: f64::de_bin(offset, bytes)?,
+        })
+    }
+}
+
+/// A node that other nodes can reach.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerNode {
+    /// Its name.
+    pub name: String,
+    /// Where it is reached.
+    pub address: SocketAddr,
+}
+
+/// The homes of one group, as one node sees them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GroupHomes {
+    /// Whether this node is one of them.
+    pub is_own: bool,
+    /// How many there are, this node among them if it is one.
+    pub count: usize,
+    /// The others, in the order in which this node hands them units: the nearest first.
+    pub others: Vec<PeerNode>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// The listed nodes; none before the list was read.
+    nodes: Option<BTreeMap<String, NodeEntry>>,
+    /// The homes of groups, by name, for so many connections to each server.
+    ranked: HashMap<String, (usize, Arc<GroupHomes>)>,
+}
+
+/// The nodes that are listed, and the homes of groups.
+#[derive(Debug)]
+pub struct Homes {
+    own_name: String,
+    own: NodeEntry,
+    regions: BTreeMap<String, String>,
+    inner: Mutex<Inner>,
+}
+
+/// How many nodes share the connections until the list of nodes has been read.
+const UNKNOWN_NODES: usize = 12;
+
+impl Homes {
+    /// The homes before any node is known.
+    pub fn new(settings: &PipelineSettings) -> Self {
+        Homes {
+            own_name: settings.node.name.clone(),
+            own: NodeEntry::own(settings),
+            regions: settings.zones.clone(),
+            inner: Mutex::default(),
+        }
+    }
+
+    /// Changes the listed nodes.
+    pub fn update(&self, change: impl FnOnce(&mut BTreeMap<String, NodeEntry>)) {
+        let mut inner = self.lock();
+        change(inner.nodes.get_or_insert_default());
+        inner.ranked.clear();
+    }
+
+    /// Where a node is reached; none if it is not listed.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        let inner = self.lock();
+        let node = inner.nodes.as_ref()?.get(name)?;
+        Some(node.address)
+    }
+
+    /// The homes of a group whose servers take so many connections each.
+    pub fn of(&self, group: &str, connections: usize) -> Arc<GroupHomes> {
+        let mut inner = self.lock();
+        if let Some((known_connections, homes)) = inner.ranked.get(group)
+            && *known_connections == connections
+        {
+            return Arc::clone(homes);
+        }
+        let Some(nodes) = &inner.nodes else {
+            return Arc::new(GroupHomes {
+                is_own: true,
+                count: UNKNOWN_NODES,
+                others: Vec::new(),
+            });
+        };
+        let homes = Arc::new(self.rank(nodes, group, connections));
+        let known = (connections, Arc::clone(&homes));
+        inner.ranked.insert(group.to_owned(), known);
+        homes
+    }
+
+    fn rank(
+        &self,
+        listed: &BTreeMap<String, NodeEntry>,
+        group: &str,
+        connections: usize,
+    ) -> GroupHomes {
+        // This node counts itself also while its entry is not listed yet.
+        let mut nodes: BTreeMap<&str, &NodeEntry> = listed
+            .iter()
+            .map(|(name, node)| (name.as_str(), node))
+            .collect();
+        nodes.insert(&self.own_name, &self.own);
+        let zones: BTreeSet<&str> = nodes.values().map(|node| node.zone.as_str()).collect();
+        let per_zone = homes_per_zone(connections, nodes.len(), zones.len());
+        let mut chosen = Vec::new();
+        for zone in zones {
+            let members: Vec<_> = nodes.iter().filter(|(_, node)| node.zone == zone).collect();
+            let ranked: Vec<RankedNode> = members
+                .iter()
+                .map(|(name, node)| ranked_node(name, node))
+                .collect();
+            let order = rank_homes(group, &ranked).into_iter().take(per_zone);
+            chosen.extend(order.map(|index| {
+                let (name, node) = members[index];
+                (self.distance(&node.zone), *name, node.address)
+            }));
+        }
+        // Stable: nodes at the same distance stay in the order of their zones and ranks.
+        chosen.sort_by_key(|(distance, _, _)| *distance);
+        let others = chosen.iter().filter(|(_, name, _)| *name != self.own_name);
+        GroupHomes {
+            is_own: chosen.iter().any(|(_, name, _)| *name == self.own_name),
+            count: chosen.len(),
+            others: others
+                .map(|(_, name, address)| PeerNode {
+                    name: (*name).to_owned(),
+                    address: *address,
+                })
+                .collect(),
+        }
+    }
+
+    fn distance(&self, zone: &str) -> Distance {
+        if zone == self.own.zone {
+            return Distance::Zone;
+        }
+        let own_region = self.regions.get(&self.own.zone);
+        let region = self.regions.get(zone);
+        if region.is_some() && region == own_region {
+            Distance::Region
+        } else {
+            Distance::Remote
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn ranked_node(name: &str, node: &NodeEntry) -> RankedNode {
+    RankedNode {
+        key: NodeKey(subject_digest(name)),
+        weight: node.weight.max(LEAST_WEIGHT),
+    }
+}
--- a/crates/spurpier-pipeline/src/membership.rs
+++ b/crates/spurpier-pipeline/src/membership.rs
@@ -1,17 +1,16 @@
 //! Which nodes there are: each lists itself in the store while it runs.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use nanoserde::{DeBin, SerBin};
 use tokio::time::timeout;
 
 use crate::context::Context;
 use crate::directory::share_connections;
 use crate::follow::RowSink;
+use crate::homes::NodeEntry;
 use crate::ports::{Row, Table, Transaction, Write};
 
 /// How long one write of the own entry may take.
@@ -20,10 +19,10 @@
 const WRITE_PAUSE: Duration = Duration::from_millis(700);
 
 /// Lists this node, as often as it takes.
-pub async fn list_self(context: Arc<Context>, address: SocketAddr) {
+pub async fn list_self(context: Arc<Context>) {
     let key = context.settings.node.name.clone();
-    let value = Bytes::from(address.to_string());
-    loop {
+    let value = Bytes::from(NodeEntry::own(&context.settings).serialize_bin());
+    while !context.draining.is_cancelled() {
         let write = Write::Put {
             key: key.clone(),
             value: value.clone(),
@@ -53,44 +52,33 @@
 /// Keeps the nodes as the store lists them.
 pub struct NodeSink(pub Arc<Context>);
 
-impl NodeSink {
-    fn update(&self, change: impl FnOnce(&mut HashMap<String, SocketAddr>)) {
-        let context = &self.0;
-        let count = {
-            let mut peers = context.peers.lock().unwrap_or_else(PoisonError::into_inner);
-            change(&mut peers);
-            peers.len().max(1)
-        };
-        let before = context.nodes.swap(count, Ordering::Relaxed);
-        if before != count {
-            share_connections(context);
-        }
-    }
-}
-
-fn address(row: &Row) -> Option<SocketAddr> {
-    std::str::from_utf8(&row.value).ok()?.parse().ok()
+fn entry(row: &Row) -> Option<NodeEntry> {
+    NodeEntry::deserialize_bin(&row.value).ok()
 }
 
 impl RowSink for NodeSink {
     fn replace(&mut self, rows: &[Row], _version: u64) {
-        self.update(|peers| {
-            peers.clear();
+        self.0.homes.update(|nodes| {
+            nodes.clear();
             let listed = rows
                 .iter()
-                .filter_map(|row| Some((row.key.clone(), address(row)?)));
-            peers.extend(listed);
+                .filter_map(|row| Some((row.key.clone(), entry(row)?)));
+            nodes.extend(listed);
         });
+        share_connections(&self.0);
     }
 
     fn change(&mut self, row: &Row) {
-        self.update(|peers| match address(row).filter(|_| !row.gone) {
-            Some(address) => {
-                peers.insert(row.key.clone(), address);
-            }
-            None => {
-                peers.remove(&row.key);
-            }
-        });
+        self.0
+            .homes
+            .update(|nodes| match entry(row).filter(|_| !row.gone) {
+                Some(entry) => {
+                    nodes.insert(row.key.clone(), entry);
+                }
+                None => {
+                    nodes.remove(&row.key);
+                }
+            });
+        share_connections(&self.0);
     }
 }
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -3,7 +3,6 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -22,7 +21,9 @@
 use crate::duty::{Peers, watch_groups};
 use crate::events;
 use crate::follow::follow;
+use crate::forward::{self, Links};
 use crate::handed_on::{self, KnownRows};
+use crate::homes::Homes;
 use crate::log_budget::LogBudget;
 use crate::membership::{NodeSink, list_self, unlist_self};
 use crate::ports::{
@@ -36,11 +37,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// For how long a draining node still takes clients that the load balancer sends it.
 const ACCEPT_ON: Duration = Duration::from_millis(2_600);
-/// How long taking the node off the list may take at its end.
-const UNLIST_LIMIT: Duration = Duration::from_millis(300);
 
-/// How many nodes share the connections until the list of nodes has been read.
-const UNKNOWN_NODES: usize = 12;
 /// Groups that other nodes want seen to and that were not looked at yet.
 const WANTED_CAPACITY: usize = 64;
 
@@ -66,6 +63,7 @@
     client: TcpListener,
     ready: TcpListener,
     internal: UdpSocket,
+    forwarded: TcpListener,
     control: TcpListener,
 }
 
@@ -77,10 +75,12 @@
     ///
     /// `Bind` for the first address that cannot be bound.
     pub async fn bind(listen: &mut ListenSettings) -> Result<Self, Report<NodeError>> {
+        let (internal, forwarded) = bind_internal(listen.internal).await?;
         let listeners = Listeners {
             client: bind(listen.client).await?,
             ready: bind(listen.ready).await?,
-            internal: bind_datagrams(listen.internal).await?,
+            internal,
+            forwarded,
             control: bind(listen.control).await?,
         };
         listen.client = local(listeners.client.local_addr(), listen.client)?;
@@ -130,6 +130,7 @@
         let context = Arc::new(context);
         start_tasks(&context, listeners.ready);
         start_duty(&context, listeners.internal);
+        tokio::spawn(forward::serve(Arc::clone(&context), listeners.forwarded));
         tokio::spawn(handed_on::serve(Arc::clone(&context), listeners.control));
         log_event!(
             events::NODE_STARTED,
@@ -151,17 +152,22 @@
     bound.change_context(NodeError::Bind(address))
 }
 
-async fn bind_datagrams(address: SocketAddr) -> Result<UdpSocket, Report<NodeError>> {
-    let bound = UdpSocket::bind(address).await;
-    bound.change_context(NodeError::Bind(address))
+/// Binds the internal address twice: for datagrams, and for forwarded units under the same port.
+async fn bind_internal(address: SocketAddr) -> Result<(UdpSocket, TcpListener), Report<NodeError>> {
+    let listener = bind(address).await?;
+    let port = local(listener.local_addr(), address)?;
+    let bound = UdpSocket::bind(port).await;
+    let datagrams = bound.change_context(NodeError::Bind(address))?;
+    Ok((datagrams, listener))
 }
 
 impl Context {
     fn new(parts: NodeParts) -> (Self, Listeners) {
         let clock = Clock::new();
         let context = Context {
-            settings: parts.settings,
             retry_budget: Mutex::new(RetryBudget::new(RETRY_BUDGET, clock.now())),
+            homes: Homes::new(&parts.settings),
+            settings: parts.settings,
             clock,
             client_dialect: parts.client_dialect,
             server_dialect: parts.server_dialect,
@@ -170,12 +176,12 @@
             promotions: parts.promotions,
             configuration: watch::Sender::new(None),
             groups: Mutex::default(),
-            nodes: AtomicUsize::new(UNKNOWN_NODES),
-            peers: Mutex::default(),
+            links: Links::default(),
             store_answered_at: Mutex::default(),
             directory_known: watch::Sender::new(false),
             known_rows: KnownRows::default(),
             log_budget: LogBudget::default(),
+            forwarded: TaskTracker::new(),
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
         };
@@ -194,8 +200,7 @@
     tokio::spawn(follow(shared(), Table::Nodes, NodeSink(shared())));
     tokio::spawn(forget_gone(shared()));
     tokio::spawn(share_after_start(shared()));
-    let internal = context.settings.listen.internal;
-    tokio::spawn(list_self(shared(), internal));
+    tokio::spawn(list_self(shared()));
 }
 
 fn start_duty(context: &Arc<Context>, socket: UdpSocket) {
@@ -225,6 +230,9 @@
 async fn drain(context: &Arc<Context>, listener: TcpListener, sessions: &TaskTracker) {
     log_event!(events::NODE_DRAINING, sessions = sessions.len());
     context.draining.cancel();
+    // Other nodes take it out of the homes, and go on being served until they have.
+    let leaving = Arc::clone(context);
+    tokio::spawn(async move { unlist_self(&leaving).await });
     let started = Instant::now();
     let grace = Duration::from_millis(context.settings.bounds.grace_ms);
     let accept_on = ACCEPT_ON.min(grace * 2 / 5);
@@ -232,12 +240,16 @@
     let _ = timeout(accept_on, accept(context, &listener, sessions)).await;
     drop(listener);
     sessions.close();
-    let half = timeout_at(started + grace / 2, sessions.wait()).await;
+    context.forwarded.close();
+    let work_ends = || async {
+        sessions.wait().await;
+        context.forwarded.wait().await;
+    };
+    let half = timeout_at(started + grace / 2, work_ends()).await;
     if half.is_err() {
         context.closing.cancel();
-        // Sessions that are still open then are cut by the end of the process.
-        let _ = timeout_at(started + grace * 9 / 10, sessions.wait()).await;
+        // Work that is still open then is cut by the end of the process.
+        let _ = timeout_at(started + grace * 9 / 10, work_ends()).await;
     }
-    let _ = timeout(UNLIST_LIMIT, unlist_self(context)).await;
     log_event!(events::NODE_DRAINED, cut = sessions.len());
 }
--- a/crates/spurpier-pipeline/src/ports/statement.rs
+++ b/crates/spurpier-pipeline/src/ports/statement.rs
@@ -1,10 +1,11 @@
 //! Statements and their answers, free of any dialect.
 
 use bytes::Bytes;
+use nanoserde::{DeBin, SerBin};
 use spurpier_core::position::Position;
 
 /// Whether a statement changes data.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, SerBin, DeBin)]
 pub enum Effect {
     /// It only reads.
     Read,
@@ -70,7 +71,7 @@
 }
 
 /// The state of a session or connection between two statements.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
 pub enum TransactionState {
     /// No transaction is open.
     Idle,
@@ -81,7 +82,7 @@
 }
 
 /// The meaning of an error.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, SerBin, DeBin)]
 pub enum ErrorClass {
     /// Not run: there is too much work.
     Busy,
--- a/crates/spurpier-pipeline/src/session/state.rs
+++ b/crates/spurpier-pipeline/src/session/state.rs
@@ -7,9 +7,9 @@
 use tokio::time::Instant;
 
 use crate::context::Context;
+use crate::forward::PlacedTransaction;
 use crate::ports::{Effect, TransactionState};
 use crate::server::Values;
-use crate::unit::OpenTransaction;
 
 /// A prepared statement of a session.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -28,7 +28,7 @@
     pub(super) prepared: HashMap<String, Prepared>,
     /// The last commit, and the group in whose log it stands.
     pub(super) own_commit: Option<(String, OwnCommit)>,
-    pub(super) transaction: Option<OpenTransaction>,
+    pub(super) transaction: Option<PlacedTransaction>,
     /// When the last statement of the open transaction was answered.
     pub(super) rests_since: Instant,
 }
@@ -50,7 +50,7 @@
     /// The state that the client was told last.
     pub fn transaction_state(&self) -> TransactionState {
         let transaction = self.transaction.as_ref();
-        transaction.map_or(TransactionState::Idle, OpenTransaction::state)
+        transaction.map_or(TransactionState::Idle, PlacedTransaction::state)
     }
 
     /// When the open transaction is ended if it goes on resting.
@@ -71,8 +71,8 @@
 
     /// Drops what is open when the session ends.
     pub async fn end(&mut self) {
-        if let Some(transaction) = self.transaction.take() {
-            transaction.roll_back().await;
+        if let Some(mut transaction) = self.transaction.take() {
+            transaction.expire().await;
         }
     }
 }
--- a/crates/spurpier-pipeline/src/session/statements.rs
+++ b/crates/spurpier-pipeline/src/session/statements.rs
@@ -7,8 +7,9 @@
 use tokio::time::Instant;
 
 use super::state::{Prepared, SessionState};
+use crate::forward::{PlacedTransaction, run_single};
 use crate::ports::{Answer, Effect, ErrorClass, Request, Statement, TransactionState};
-use crate::unit::{Done, OpenTransaction, PreparedUse, Times, Unit, Work};
+use crate::unit::{Done, PreparedUse, Times, Unit, Work};
 
 impl SessionState {
     /// Runs a statement and gives its answer.
@@ -92,17 +93,14 @@
 
     async fn run_work(&mut self, work: Work, effect: Effect) -> Answer {
         if let Some(transaction) = &mut self.transaction {
-            transaction.renew_times();
-            transaction.unit.values.clone_from(&self.values);
-            return transaction.run(&work, effect == Effect::Write).await;
+            let clock = &self.context.clock;
+            transaction.prepare(&self.values, |unit| Times::of(&unit.route, clock));
+            return transaction.run(&work, effect).await;
         }
         let Some(unit) = self.unit() else {
             return unknown_database();
         };
-        let done = match effect {
-            Effect::Read => unit.read(&work).await,
-            Effect::Write => unit.write(&work).await,
-        };
+        let done = run_single(&unit, &work, effect).await;
         self.settle(&unit.group.name, done)
     }
 
@@ -110,7 +108,7 @@
         let Some(unit) = self.unit() else {
             return unknown_database();
         };
-        let (answer, transaction) = OpenTransaction::begin(unit, &work, read_only).await;
+        let (answer, transaction) = PlacedTransaction::begin(unit, &work, read_only).await;
         self.transaction = transaction;
         answer
     }
@@ -123,9 +121,9 @@
                 TransactionState::Idle,
             );
         };
-        transaction.renew_times();
-        transaction.unit.values.clone_from(&self.values);
-        let group = transaction.unit.group.name.clone();
+        let clock = &self.context.clock;
+        transaction.prepare(&self.values, |unit| Times::of(&unit.route, clock));
+        let group = transaction.group_name();
         let done = transaction.commit(&work).await;
         self.settle(&group, done)
     }
--- a/crates/spurpier-pipeline/src/settings.rs
+++ b/crates/spurpier-pipeline/src/settings.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 /// All settings.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct PipelineSettings {
     /// The node.
     pub node: NodeSettings,
@@ -26,7 +26,7 @@
 }
 
 /// The node.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct NodeSettings {
     /// Its name, unique among living nodes.
     pub name: String,
@@ -34,6 +34,14 @@
     pub zone: String,
     /// Its region.
     pub region: String,
+    /// How much it can do beside the other nodes: a node of twice the weight is home of twice as
+    /// many groups.
+    #[serde(default = "default_weight")]
+    pub weight: f64,
+}
+
+fn default_weight() -> f64 {
+    1.0
 }
 
 /// Where a node listens.
@@ -43,7 +51,7 @@
     pub client: SocketAddr,
     /// The readiness endpoint.
     pub ready: SocketAddr,
-    /// Messages of other nodes, over UDP.
+    /// Messages of other nodes over UDP, and the units that they forward over TCP.
     pub internal: SocketAddr,
     /// Questions of nodes that start while the store is down, over TCP.
     pub control: SocketAddr,
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -27,8 +27,10 @@
 
 use crate::context::Context;
 use crate::events;
+use crate::forward::CalledAnswer;
 use crate::group::Group;
-use crate::ports::{Answer, ErrorClass, FreshnessKind, Route, TransactionState};
+use crate::homes::PeerNode;
+use crate::ports::{Answer, Effect, ErrorClass, FreshnessKind, Route, TransactionState};
 use crate::server::Values;
 
 /// What a unit knows of its session and its route.
@@ -60,6 +62,8 @@
     NoFreshServer,
     /// No server can be reached.
     NoServer,
+    /// No home of the group can be reached.
+    NoHome,
 }
 
 impl NotRun {
@@ -70,13 +74,14 @@
             NotRun::ServerBusy => "server_busy",
             NotRun::NoFreshServer => "no_fresh_server",
             NotRun::NoServer => "no_server",
+            NotRun::NoHome => "no_home",
         }
     }
 
     /// When a client should come back, in milliseconds.
     const fn retry_after_ms(self) -> u32 {
         match self {
-            NotRun::NoLead | NotRun::NoServer => 300,
+            NotRun::NoLead | NotRun::NoServer | NotRun::NoHome => 300,
             NotRun::NoFreshServer => 200,
             NotRun::NoConnection | NotRun::ServerBusy => 100,
         }
@@ -93,10 +98,17 @@
 }
 
 impl Done {
-    fn answer(answer: Answer) -> Self {
+    /// An answer that acknowledges no commit.
+    pub fn answer(answer: Answer) -> Self {
         let committed = None;
         Done { answer, committed }
     }
+
+    /// What another node has replied.
+    pub fn of_call(answer: CalledAnswer) -> Self {
+        let (answer, committed) = answer.into_parts();
+        Done { answer, committed }
+    }
 }
 
 impl Unit {
@@ -104,8 +116,26 @@
         self.route.freshness == FreshnessKind::Latest
     }
 
+    /// Whether only the lead can run such a statement.
+    pub fn needs_lead(&self, effect: Effect) -> bool {
+        effect == Effect::Write || self.is_latest()
+    }
+
+    /// The node that is known to reach the lead, if this one does not.
+    pub fn relay(&self) -> Option<PeerNode> {
+        self.group.relay(self.context.clock.now())
+    }
+
+    /// Runs a statement outside a transaction on this node's connections.
+    pub async fn run_here(&self, work: &Work, effect: Effect) -> Done {
+        match effect {
+            Effect::Read => self.read(work).await,
+            Effect::Write => self.write(work).await,
+        }
+    }
+
     /// The answer of a statement that has not run.
-    fn refuse(&self, id: &str, reason: NotRun) -> Answer {
+    pub fn refuse(&self, id: &str, reason: NotRun) -> Answer {
         let retry_after_ms = reason.retry_after_ms();
         if let Some(suppressed) = self.log_budget(events::REQUEST_NOT_RUN) {
             log_event!(
@@ -123,7 +153,7 @@
     }
 
     /// The answer of a statement of which cannot be told whether it ran.
-    fn doubt(&self, id: &str, class: ErrorClass, server: &str) -> Answer {
+    pub fn doubt(&self, id: &str, class: ErrorClass, server: &str) -> Answer {
         if let Some(suppressed) = self.log_budget(events::REQUEST_UNKNOWN) {
             log_event!(
                 events::REQUEST_UNKNOWN,
@@ -138,7 +168,25 @@
         Answer::error(class, "no answer came", TransactionState::Idle)
     }
 
-    fn note_retry(&self, id: &str, server: &str, why: &str) {
+    /// The answer in a transaction whose connection was given up: the server drops it.
+    pub fn abort(&self, id: &str, server: &str, why: &str) -> Answer {
+        if let Some(suppressed) = self.log_budget(events::REQUEST_NOT_RUN) {
+            log_event!(
+                events::REQUEST_NOT_RUN,
+                request = id,
+                group = self.group.name,
+                server = server,
+                reason = format!("transaction_aborted {why}"),
+                waited_ms = self.waited_ms(),
+                suppressed = suppressed
+            );
+        }
+        let text = "retry-after-ms=100 the transaction was dropped";
+        Answer::error(ErrorClass::Aborted, text, TransactionState::Failed)
+    }
+
+    /// Notes that a statement is tried again.
+    pub fn note_retry(&self, id: &str, server: &str, why: &str) {
         if let Some(suppressed) = self.log_budget(events::REQUEST_RETRIED) {
             log_event!(
                 events::REQUEST_RETRIED,
--- a/crates/spurpier-pipeline/src/unit/times.rs
+++ b/crates/spurpier-pipeline/src/unit/times.rs
@@ -27,8 +27,15 @@
     /// A fifth of the target is for waiting. A process that stood still counts the statement's
     /// time from when it may have come.
     pub fn of(route: &Route, clock: &Clock) -> Self {
+        Times::of_waited(route, clock, Duration::ZERO)
+    }
+
+    /// The limits of a statement that is read now and has waited on another node.
+    ///
+    /// What a read must see counts from now: a later moment asks for more.
+    pub fn of_waited(route: &Route, clock: &Clock, waited: Duration) -> Self {
         let arrived = clock.now();
-        let earliest = clock.earliest_arrival();
+        let earliest = clock.earliest_arrival().before(waited);
         let margin = LEAST_MARGIN.max(route.timeout / 10);
         let target = if route.target.is_zero() {
             route.timeout
--- a/crates/spurpier-pipeline/src/unit/transaction.rs
+++ b/crates/spurpier-pipeline/src/unit/transaction.rs
@@ -4,13 +4,11 @@
 
 use spurpier_core::position::Position;
 use spurpier_core::time::Timestamp;
-use spurpier_events::log_event;
 
 use super::attempt::{Answered, Failure, Manner, Place};
 use super::read::after;
 use super::work::Work;
 use super::{Done, NotRun, Unit};
-use crate::events;
 use crate::ports::{Answer, ErrorClass, TransactionState};
 
 /// Servers that the opening of a read-only transaction tries.
@@ -81,7 +79,8 @@
             }
             Err(failure) => {
                 self.failed = true;
-                self.abort(work, &server.instance, failure)
+                let why = format!("{failure:?}");
+                self.unit.abort(&work.id, &server.instance, &why)
             }
         }
     }
@@ -92,23 +91,6 @@
         self.place = place;
     }
 
-    /// The answer after the connection was given up: the server drops the transaction.
-    fn abort(&self, work: &Work, server: &str, failure: Failure) -> Answer {
-        if let Some(suppressed) = self.unit.log_budget(events::REQUEST_NOT_RUN) {
-            log_event!(
-                events::REQUEST_NOT_RUN,
-                request = work.id,
-                group = self.unit.group.name,
-                server = server,
-                reason = format!("transaction_aborted {failure:?}"),
-                waited_ms = self.unit.waited_ms(),
-                suppressed = suppressed
-            );
-        }
-        let text = "retry-after-ms=100 the transaction was dropped";
-        Answer::error(ErrorClass::Aborted, text, TransactionState::Failed)
-    }
-
     /// Commits.
     pub async fn commit(mut self, work: &Work) -> Done {
         let Some(place) = self.place.take_if(|_| !self.failed) else {
@@ -134,7 +116,7 @@
                 Done { answer, committed }
             }
             Err(Failure::NotSent | Failure::Refused(_)) => {
-                let mut answer = self.abort(work, &server.instance, Failure::NotSent);
+                let mut answer = unit.abort(&work.id, &server.instance, "NotSent");
                 answer.state = TransactionState::Idle;
                 Done::answer(answer)
             }
@@ -159,11 +141,6 @@
             let _ = connection.roll_back().await;
         }
     }
-
-    /// Gives the unit new limits in time, for its next statement.
-    pub fn renew_times(&mut self) {
-        self.unit.times = super::Times::of(&self.unit.route, &self.unit.context.clock);
-    }
 }
 
 impl Unit {
--- a/crates/spurpier-protocol/src/frame.rs
+++ b/crates/spurpier-protocol/src/frame.rs
@@ -170,17 +170,7 @@
     type Error = FrameError;
 
     fn encode(&mut self, frame: &Frame, output: &mut BytesMut) -> Result<(), FrameError> {
-        let body = frame.serialize_bin();
-        let length = CHECKSUM_BYTES + body.len();
-        if length > MAX_FRAME_BYTES {
-            return Err(FrameError::Length(length));
-        }
-        output.reserve(LENGTH_BYTES + length);
-        // Bounded by MAX_FRAME_BYTES just above.
-        output.put_u32(length as u32);
-        output.put_u64(xxh3_64(&body));
-        output.put_slice(&body);
-        Ok(())
+        encode_framed(frame, output)
     }
 }
 
@@ -189,32 +179,60 @@
     type Error = FrameError;
 
     fn decode(&mut self, input: &mut BytesMut) -> Result<Option<Frame>, FrameError> {
-        let Some(mut header) = input.get(..LENGTH_BYTES) else {
-            return Ok(None);
-        };
-        let length = header.get_u32() as usize;
-        if !(CHECKSUM_BYTES..=MAX_FRAME_BYTES).contains(&length) {
-            return Err(FrameError::Length(length));
-        }
-        if input.len() < LENGTH_BYTES + length {
-            // Grows with the bytes that arrive; a length alone reserves nothing.
-            return Ok(None);
-        }
-        input.advance(LENGTH_BYTES);
-        let mut frame = input.split_to(length);
-        let checksum = frame.get_u64();
-        if xxh3_64(&frame) != checksum {
-            return Err(FrameError::Checksum);
-        }
-        decode_body(&frame).map(Some)
+        decode_framed(input)
+    }
+}
+
+/// Appends a message as one frame: length, checksum and body.
+///
+/// # Errors
+///
+/// `Length` if the message is too long; nothing is appended then.
+pub fn encode_framed(message: &impl SerBin, output: &mut BytesMut) -> Result<(), FrameError> {
+    let body = message.serialize_bin();
+    let length = CHECKSUM_BYTES + body.len();
+    if length > MAX_FRAME_BYTES {
+        return Err(FrameError::Length(length));
+    }
+    output.reserve(LENGTH_BYTES + length);
+    // Bounded by MAX_FRAME_BYTES just above.
+    output.put_u32(length as u32);
+    output.put_u64(xxh3_64(&body));
+    output.put_slice(&body);
+    Ok(())
+}
+
+/// Takes the next whole frame's message; none while it is not whole.
+///
+/// # Errors
+///
+/// If the bytes are no frame of such a message; the connection is of no more use.
+pub fn decode_framed<M: DeBin>(input: &mut BytesMut) -> Result<Option<M>, FrameError> {
+    let Some(mut header) = input.get(..LENGTH_BYTES) else {
+        return Ok(None);
+    };
+    let length = header.get_u32() as usize;
+    if !(CHECKSUM_BYTES..=MAX_FRAME_BYTES).contains(&length) {
+        return Err(FrameError::Length(length));
+    }
+    if input.len() < LENGTH_BYTES + length {
+        // Grows with the bytes that arrive; a length alone reserves nothing.
+        return Ok(None);
+    }
+    input.advance(LENGTH_BYTES);
+    let mut frame = input.split_to(length);
+    let checksum = frame.get_u64();
+    if xxh3_64(&frame) != checksum {
+        return Err(FrameError::Checksum);
     }
+    decode_body(&frame).map(Some)
 }
 
-fn decode_body(body: &[u8]) -> Result<Frame, FrameError> {
+fn decode_body<M: DeBin>(body: &[u8]) -> Result<M, FrameError> {
     let mut offset = 0;
-    let frame = Frame::de_bin(&mut offset, body).map_err(|_| FrameError::Malformed)?;
+    let message = M::de_bin(&mut offset, body).map_err(|_| FrameError::Malformed)?;
     if offset == body.len() {
-        Ok(frame)
+        Ok(message)
     } else {
         Err(FrameError::Malformed)
     }
--- a/crates/spurpier/src/settings/check.rs
+++ b/crates/spurpier/src/settings/check.rs
@@ -165,6 +165,12 @@
                 collector.error(span, message);
             }
         }
+        (Shape::Positive, DeValue::Integer(number)) => {
+            check_positive(collector, name, span, number.as_str());
+        }
+        (Shape::Positive, DeValue::Float(number)) => {
+            check_positive(collector, name, span, number.as_str());
+        }
         (Shape::Text | Shape::Choice(_) | Shape::Address | Shape::Url, DeValue::String(text)) => {
             if let Some(message) = text_fault(name, text, shape) {
                 collector.error(span, message);
@@ -178,6 +184,16 @@
     }
 }
 
+fn check_positive(collector: &mut Collector<'_>, name: &str, span: Range<usize>, number: &str) {
+    let digits = number.replace('_', "");
+    let holds = digits
+        .parse::<f64>()
+        .is_ok_and(|value| value.is_finite() && value > 0.0);
+    if !holds {
+        collector.error(span, format!("`{name}` must be above zero, not {number}"));
+    }
+}
+
 fn check_tables<'value, 'text: 'value>(
     collector: &mut Collector<'_>,
     name: &str,
@@ -212,6 +228,7 @@
         Shape::Integer(least, greatest) => {
             format!("a whole number between {least} and {greatest}")
         }
+        Shape::Positive => "a number above zero".to_owned(),
         Shape::Address => "an IP address with a port, as in 127.0.0.1:6432".to_owned(),
         Shape::Addresses => "a list of IP addresses with ports".to_owned(),
         Shape::Url => "the address of an HTTP service, as in http://127.0.0.1:6400".to_owned(),
--- a/crates/spurpier/src/settings/gateway_schema.rs
+++ b/crates/spurpier/src/settings/gateway_schema.rs
@@ -23,6 +23,12 @@
         Absent::Required("\"vlaanderen\""),
         "Its region: zones close to each other.",
     ),
+    key(
+        "weight",
+        Shape::Positive,
+        Absent::Default("1.0"),
+        "How much it can do beside the other nodes, as its share of a processor: a node of twice the weight holds the connections of twice as many groups.",
+    ),
 ];
 
 const LISTEN: &[Key] = &[
@@ -42,7 +48,7 @@
         "internal",
         Shape::Address,
         Absent::Required("\"127.0.0.1:6434\""),
-        "Messages of other nodes, over UDP.",
+        "Messages of other nodes over UDP, and the statements that they forward over TCP.",
     ),
     key(
         "control",
--- a/crates/spurpier/src/settings/schema.rs
+++ b/crates/spurpier/src/settings/schema.rs
@@ -24,6 +24,8 @@
     Choice(&'static [&'static str]),
     /// A whole number from the first to the second, both included.
     Integer(i64, i64),
+    /// A number above zero, whole or with a fraction.
+    Positive,
     /// An IP address with a port, as in `127.0.0.1:6432`.
     Address,
     /// A list of addresses.
--- a/crates/spurpier/tests/gateway_settings.rs
+++ b/crates/spurpier/tests/gateway_settings.rs
@@ -27,6 +27,7 @@
         ("internal-ports.0", "7440"),
         ("platform.address", "10.200.1.7:8783"),
         ("cloud.address", "10.200.0.160:8783"),
+        ("limits.cpu-share", "0.25"),
         ("bounds.drain-ms", "7000"),
         ("bounds.grace-s", "6"),
     ] {
@@ -47,6 +48,7 @@
     assert_eq!(settings.node.name, "front-gent-hal-1");
     assert_eq!(settings.listen.internal.to_string(), "10.1.0.8:7440");
     assert_eq!(settings.zones["namur-hal"], "wallonie");
+    assert_eq!(settings.node.weight, 0.25);
     assert_eq!(settings.bounds, BoundSettings::default());
 }
 
@@ -71,12 +73,14 @@
 fn all_findings_are_told_together_with_their_places() {
     let text = filled_template()
         .replace("10.1.0.8:8784", "nowhere")
+        .replace("weight = 0.25", "weight = -0.25")
         .replace("grace_ms = 6000", "grace_ms = \"long\"")
         .replace("[bounds]", "[bounds]\nserver_drian_ms = 1")
         .replace("zone = \"gent-hal\"\n", "");
     let findings = check("file.toml", &text).to_string();
     for expected in [
         "`client` must be an IP address",
+        "`weight` must be above zero, not -0.25",
         "`grace_ms` must be a whole number",
         "did you mean `server_drain_ms`?",
         "the key `zone` is missing",
