Let a few watchers follow the store, and the other nodes follow a watcher

Ruled out: longer waits alone (a silent wait would hide a configuration past its bound).

Change: eight nodes in all, at least one a zone, follow the store; the others ask a watcher over the connections that carry units, told what has changed since their cursor and how old it is. What is older than 2.5 s, or behind, is left for the next watcher and then for the store. The seeds' own protocol (handed_on) goes: a seed is asked over the same messages. A change of the nodes is told in batches of 250 ms.

--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -1,12 +1,12 @@
 //! What all sessions and tasks of a node share.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use spurpier_core::lead::Distance;
 use spurpier_core::retry::{RetryBudget, RetryBudgetSettings};
-use spurpier_core::time::Timestamp;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -15,15 +15,12 @@
 use crate::configuration::InForce;
 use crate::forward::Links;
 use crate::group::Group;
-use crate::handed_on::KnownRows;
-use crate::homes::{GroupHomes, Homes};
+use crate::homes::{ChosenNodes, Homes};
+use crate::known_tables::KnownTables;
 use crate::log_budget::LogBudget;
 use crate::ports::{ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect};
 use crate::settings::PipelineSettings;
 
-/// How old the store's last answer may be at a node that says it can hold the duty.
-const STORE_VALIDITY: Duration = Duration::from_millis(3_000);
-
 /// Attempts beyond the first: a lost server makes many statements try again at the same time, so
 /// the budget is ample and stops only a lasting failure.
 pub const RETRY_BUDGET: RetryBudgetSettings = RetryBudgetSettings {
@@ -59,14 +56,14 @@
     pub homes: Homes,
     /// The connections to other nodes that take forwarded units.
     pub links: Links,
-    /// When the store last answered.
-    pub store_answered_at: Mutex<Timestamp>,
+    /// Whether the store left this node's last call without an answer.
+    pub store_lost: AtomicBool,
     /// Whether the servers have been read once.
     pub directory_known: watch::Sender<bool>,
     /// Bounds attempts beyond the first.
     pub retry_budget: Mutex<RetryBudget>,
     /// The store's tables as last seen.
-    pub known_rows: KnownRows,
+    pub known_tables: KnownTables,
     /// Bounds the log lines of single requests.
     pub log_budget: LogBudget,
     /// Work of other nodes that runs here.
@@ -107,7 +104,7 @@
     }
 
     /// The homes of a group.
-    pub fn homes_of(&self, group: &str) -> Arc<GroupHomes> {
+    pub fn homes_of(&self, group: &str) -> Arc<ChosenNodes> {
         self.homes.of(group, self.usable_connections(group))
     }
 
@@ -133,17 +130,17 @@
 
     /// Takes in that the store has answered.
     pub fn note_store_answer(&self) {
-        let now = self.clock.now();
-        let answered_at = &self.store_answered_at;
-        *answered_at.lock().unwrap_or_else(PoisonError::into_inner) = now;
+        self.store_lost.store(false, Ordering::Relaxed);
+    }
+
+    /// Takes in that the store has not answered.
+    pub fn note_store_failure(&self) {
+        self.store_lost.store(true, Ordering::Relaxed);
     }
 
-    /// Whether this node reaches the store and goes on running.
+    /// Whether this node reaches the store, as far as it has tried, and goes on running.
     pub fn can_hold_duty(&self) -> bool {
-        let answered_at = &self.store_answered_at;
-        let answered_at = *answered_at.lock().unwrap_or_else(PoisonError::into_inner);
-        let age = self.clock.now().since(answered_at);
-        !self.draining.is_cancelled() && age < STORE_VALIDITY
+        !self.draining.is_cancelled() && !self.store_lost.load(Ordering::Relaxed)
     }
 
     /// Takes in a statement's first attempt, which earns a part of a further one.
--- a/crates/spurpier-pipeline/src/directory.rs
+++ b/crates/spurpier-pipeline/src/directory.rs
@@ -34,7 +34,7 @@
 }
 
 impl RowSink for ConfigurationSink {
-    fn replace(&mut self, rows: &[Row], _version: u64) {
+    fn replace(&mut self, rows: &[Row]) {
         for row in rows {
             self.take(row);
         }
@@ -154,7 +154,7 @@
 }
 
 impl RowSink for ServerSink {
-    fn replace(&mut self, rows: &[Row], _version: u64) {
+    fn replace(&mut self, rows: &[Row]) {
         let listed: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
         let missing = self
             .groups
--- a/crates/spurpier-pipeline/src/duty/holder.rs
+++ b/crates/spurpier-pipeline/src/duty/holder.rs
@@ -29,7 +29,11 @@
 /// Reads the row; none if the store does not answer.
 pub async fn read_duty(context: &Context) -> Option<KnownDuty> {
     let read = timeout(CALL_LIMIT, context.store.read(Table::Duty)).await;
-    let read = read.ok()?.ok()?;
+    let Ok(Ok(read)) = read else {
+        context.note_store_failure();
+        return None;
+    };
+    context.note_store_answer();
     let Some(row) = read.rows.into_iter().find(|row| row.key == KEY) else {
         return Some(KnownDuty::default());
     };
--- /dev/null
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -0,0 +1,237 @@
+//! Following one table of the store, for ever: at the store itself, or at a node that knows it.
+//!
+//! Every call to the store has its price, and it takes so many a second from all nodes together.
+//! A few nodes, the watchers, follow it; the others follow a watcher, the nearest first, as long as
+//! what it tells is as fresh as the store's own news would be. A watcher that the store does not
+//! answer follows another one, and a node that no watcher serves follows the store.
+
+mod peer;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use spurpier_core::retry::Backoff;
+use spurpier_core::time::Timestamp;
+use spurpier_events::log_event;
+use tokio::time::timeout;
+
+use crate::context::Context;
+use crate::events;
+use crate::homes::PeerNode;
+use crate::known_tables::{Cursor, News};
+use crate::ports::{Row, StoreError, Table};
+
+/// How long a whole read may take.
+const READ_LIMIT: Duration = Duration::from_millis(1_000);
+/// How long one wait for changes lasts at most. A connection whose answers are lost stays silent,
+/// so that wait and slack together bound how late a change is taken in.
+const CHANGES_WAIT: Duration = Duration::from_millis(1_800);
+/// How much longer than its wait a call for changes may take.
+const CHANGES_SLACK: Duration = Duration::from_millis(600);
+/// How long an answer of the store takes to come, at most, unless the way is disturbed.
+const TRANSIT: Duration = Duration::from_millis(300);
+/// The age from which on what another node tells is too old: as old as the store's own news get.
+const STALE: Duration = Duration::from_millis(2_500);
+/// The pauses after failed calls.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// For how long a node that told nothing of use is passed over.
+const PASS_OVER: Duration = Duration::from_secs(3);
+/// How often a watcher that follows another one asks the store again.
+const STORE_AGAIN: Duration = Duration::from_secs(2);
+/// The pause after a change of the nodes, so that nodes which start together are told at once.
+const NODES_PAUSE: Duration = Duration::from_millis(250);
+
+/// What is done with the rows of a table.
+pub trait RowSink: Send {
+    /// Takes in all rows; those that are not among them are gone.
+    fn replace(&mut self, rows: &[Row]);
+
+    /// Takes in one row that has changed or is gone.
+    fn change(&mut self, row: &Row);
+}
+
+/// Follows a table; never returns.
+pub async fn follow(context: Arc<Context>, table: Table, sink: impl RowSink) {
+    let mut follower = Follower {
+        context,
+        table,
+        sink,
+        backoff: Backoff::new(FIRST_PAUSE, LONGEST_PAUSE),
+        lost: false,
+        store_again_at: Timestamp::ZERO,
+        version: None,
+        knows_rows: false,
+        told_at: Timestamp::ZERO,
+        cursors: HashMap::new(),
+        passed_over: HashMap::new(),
+    };
+    loop {
+        follower.step().await;
+    }
+}
+
+struct Follower<S> {
+    context: Arc<Context>,
+    table: Table,
+    sink: S,
+    backoff: Backoff,
+    /// Whether the store left the last call without an answer.
+    lost: bool,
+    store_again_at: Timestamp,
+    /// The store's version up to which all changes are known; none if all must be read anew.
+    version: Option<u64>,
+    /// Whether the table was ever read, or told by another node.
+    knows_rows: bool,
+    /// When the store last told of the table, to this node or to the one that it follows.
+    told_at: Timestamp,
+    /// Where this node stands in what others have told.
+    cursors: HashMap<String, Cursor>,
+    passed_over: HashMap<String, Timestamp>,
+}
+
+impl<S: RowSink> Follower<S> {
+    /// One call, at the node or the store that is followed.
+    async fn step(&mut self) {
+        for peer in self.peers() {
+            if self.ask_peer(&peer).await {
+                return;
+            }
+            let until = self.context.clock.now() + PASS_OVER;
+            self.passed_over.insert(peer.name, until);
+        }
+        match self.version {
+            Some(version) => self.ask_changes(version).await,
+            None => self.read().await,
+        }
+    }
+
+    /// The nodes to ask before the store; none if the store is to be asked.
+    fn peers(&mut self) -> Vec<PeerNode> {
+        let now = self.context.clock.now();
+        if !self.knows_rows {
+            return Vec::new();
+        }
+        let watchers = self.context.homes.watchers();
+        let follows_store = watchers.is_own && (!self.lost || now >= self.store_again_at);
+        if follows_store {
+            return Vec::new();
+        }
+        self.passed_over.retain(|_, until| *until > now);
+        let others = watchers.others.iter();
+        others
+            .filter(|peer| !self.passed_over.contains_key(&peer.name))
+            .cloned()
+            .collect()
+    }
+
+    /// Takes in what another node tells, unless it knows less than this node.
+    fn take_news(&mut self, peer: &str, news: News, told_at: Timestamp) -> bool {
+        if self.version.is_some_and(|version| news.version < version) {
+            return false;
+        }
+        let rows: Vec<Row> = news.rows.0.into_iter().map(|row| row.0).collect();
+        if news.whole {
+            self.take_all(&rows, news.version, told_at);
+        } else {
+            self.take_changes(&rows, news.version, told_at);
+        }
+        self.cursors.insert(peer.to_owned(), news.cursor);
+        true
+    }
+
+    fn take_all(&mut self, rows: &[Row], version: u64, told_at: Timestamp) {
+        let known = &self.context.known_tables;
+        known.replace(self.table, rows, version, told_at);
+        self.sink.replace(rows);
+        self.knows_rows = true;
+        self.note_told(version, told_at);
+    }
+
+    fn take_changes(&mut self, rows: &[Row], version: u64, told_at: Timestamp) {
+        let known = &self.context.known_tables;
+        known.change(self.table, rows, version, told_at);
+        for row in rows {
+            self.sink.change(row);
+        }
+        self.note_told(version, told_at);
+    }
+
+    fn note_told(&mut self, version: u64, told_at: Timestamp) {
+        self.version = self.version.max(Some(version));
+        self.told_at = self.told_at.max(told_at);
+    }
+
+    /// Reads the whole table; if the store does not answer, another node's will do.
+    async fn read(&mut self) {
+        let asked_at = self.context.clock.now();
+        let call = self.context.store.read(self.table);
+        let error = match timeout(READ_LIMIT, call).await {
+            Ok(Ok(read)) => {
+                self.note_answer();
+                self.take_all(&read.rows, read.version, asked_at);
+                return;
+            }
+            Ok(Err(error)) => error,
+            Err(_) => StoreError::Unknown,
+        };
+        self.note_failure(error).await;
+        if !self.knows_rows {
+            self.ask_seeds().await;
+        }
+    }
+
+    /// Waits for changes after a version and takes them in.
+    async fn ask_changes(&mut self, version: u64) {
+        // A store that was just lost is asked with a short wait, so that its return is seen.
+        let wait = if self.lost {
+            Duration::ZERO
+        } else {
+            CHANGES_WAIT
+        };
+        let asked_at = self.context.clock.now();
+        let call = self.context.store.changes(self.table, version, wait);
+        match timeout(wait + CHANGES_SLACK, call).await {
+            Ok(Ok(changes)) => {
+                self.note_answer();
+                let told_at = if changes.rows.is_empty() {
+                    // The store answers that there is nothing only at the end of the wait.
+                    asked_at + wait
+                } else {
+                    asked_at.max(self.context.clock.now().before(TRANSIT))
+                };
+                self.take_changes(&changes.rows, changes.version, told_at);
+                if self.table == Table::Nodes && !changes.rows.is_empty() {
+                    tokio::time::sleep(NODES_PAUSE).await;
+                }
+            }
+            Ok(Err(StoreError::HistoryGone)) => self.version = None,
+            Ok(Err(error)) => self.note_failure(error).await,
+            Err(_) => self.note_failure(StoreError::Unknown).await,
+        }
+    }
+
+    fn note_answer(&mut self) {
+        self.context.note_store_answer();
+        self.backoff.reset();
+        if std::mem::take(&mut self.lost) {
+            log_event!(events::STORE_REGAINED, table = format!("{:?}", self.table));
+        }
+    }
+
+    async fn note_failure(&mut self, error: StoreError) {
+        self.context.note_store_failure();
+        self.store_again_at = self.context.clock.now() + STORE_AGAIN;
+        if !std::mem::replace(&mut self.lost, true) {
+            log_event!(
+                events::STORE_LOST,
+                table = format!("{:?}", self.table),
+                error = error
+            );
+        }
+        let pause = self.backoff.next_pause(rand::rng().random());
+        tokio::time::sleep(pause).await;
+    }
+}
--- a/crates/spurpier-pipeline/src/forward/caller.rs
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -3,29 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use spurpier_core::time::Timestamp;
-use tokio::time::sleep_until;
-
-use super::link::{CallError, Link};
-use super::messages::{Call, CallHead, CalledSession, CalledWork, Reply, millis};
-use crate::homes::{GroupHomes, PeerNode};
+use super::link::{Link, Outcome};
+use super::messages::{Call, CallHead, CalledAnswer, CalledSession, CalledWork, Reply, millis};
+use crate::homes::{ChosenNodes, PeerNode};
 use crate::ports::{Effect, ErrorClass};
 use crate::unit::{Done, NotRun, Unit, Work};
 
 /// How much longer than the unit itself its caller waits for the reply.
 const REPLY_SLACK: Duration = Duration::from_millis(60);
-/// How often a caller looks whether the other node still runs.
-const LOOK: Duration = Duration::from_millis(100);
-
-/// How a call at another node ended.
-pub(super) enum Outcome {
-    /// With a reply.
-    Replied(Reply),
-    /// It was not sent.
-    NotSent,
-    /// Without a reply; it may have been run.
-    Lost,
-}
 
 /// Runs a statement outside a transaction where its group's connections are.
 pub async fn run_single(unit: &Unit, work: &Work, effect: Effect) -> Done {
@@ -40,12 +25,12 @@
         };
         let call = single(unit, work, effect, false);
         match call_within_time(unit, &link, call, effect == Effect::Read).await {
-            Outcome::Replied(Reply::Answered(answer)) => return Done::of_call(answer),
-            Outcome::Replied(Reply::NotTaken) | Outcome::NotSent => {}
-            Outcome::Lost if effect == Effect::Write => {
+            UnitOutcome::Answered(answer) => return Done::of_call(answer),
+            UnitOutcome::NotStarted => {}
+            UnitOutcome::Lost if effect == Effect::Write => {
                 return Done::answer(unit.doubt(&work.id, ErrorClass::InDoubt, &home.name));
             }
-            Outcome::Lost => {
+            UnitOutcome::Lost => {
                 was_lost = true;
                 unit.note_retry(&work.id, &home.name, "home_silent");
                 if !unit.context.may_retry() {
@@ -74,19 +59,19 @@
     {
         let call = single(unit, work, effect, true);
         match call_within_time(unit, &link, call, effect == Effect::Read).await {
-            Outcome::Replied(Reply::Answered(answer)) => return Done::of_call(answer),
-            Outcome::Replied(Reply::NotTaken) | Outcome::NotSent => {}
-            Outcome::Lost if effect == Effect::Write => {
+            UnitOutcome::Answered(answer) => return Done::of_call(answer),
+            UnitOutcome::NotStarted => {}
+            UnitOutcome::Lost if effect == Effect::Write => {
                 return Done::answer(unit.doubt(&work.id, ErrorClass::InDoubt, &relay.name));
             }
-            Outcome::Lost => unit.note_retry(&work.id, &relay.name, "relay_silent"),
+            UnitOutcome::Lost => unit.note_retry(&work.id, &relay.name, "relay_silent"),
         }
     }
     unit.run_here(work, effect).await
 }
 
 /// The other homes that have not just failed to answer, in the order in which they are tried.
-pub(super) fn usable(unit: &Unit, homes: &GroupHomes) -> Vec<PeerNode> {
+pub(super) fn usable(unit: &Unit, homes: &ChosenNodes) -> Vec<PeerNode> {
     let now = unit.context.clock.now();
     let links = &unit.context.links;
     let others = homes.others.iter();
@@ -132,6 +117,16 @@
     CalledSession::new(waited, &unit.values)
 }
 
+/// How a unit's call ended.
+pub(super) enum UnitOutcome {
+    /// With its answer.
+    Answered(CalledAnswer),
+    /// The other node has not started it and never will.
+    NotStarted,
+    /// Without an answer; it may have been run, or may be run yet.
+    Lost,
+}
+
 /// Makes a call and waits for its reply until the unit's time is over; a call that may be made
 /// elsewhere is given up as soon as the other node is suspected to have stopped.
 pub(super) async fn call_within_time(
@@ -139,26 +134,13 @@
     link: &Link,
     call: Call,
     may_repeat: bool,
-) -> Outcome {
-    let clock = &unit.context.clock;
+) -> UnitOutcome {
     let end = unit.times.give_up + REPLY_SLACK;
-    let calling = link.call(call);
-    tokio::pin!(calling);
-    loop {
-        let look = end.min(clock.now() + LOOK);
-        tokio::select! {
-            biased;
-            reply = &mut calling => return match reply {
-                Ok(reply) => Outcome::Replied(reply),
-                Err(CallError::NotSent) => Outcome::NotSent,
-                Err(CallError::Lost) => Outcome::Lost,
-            },
-            () = sleep_until(clock.instant(look)) => {
-                let now: Timestamp = clock.now();
-                if now >= end || (may_repeat && link.is_suspect()) {
-                    return Outcome::Lost;
-                }
-            }
-        }
+    let end = unit.context.clock.instant(end);
+    match link.call_until(call, end, may_repeat).await {
+        Outcome::Replied(Reply::Answered(answer)) => UnitOutcome::Answered(answer),
+        Outcome::Replied(Reply::NotTaken) | Outcome::NotSent => UnitOutcome::NotStarted,
+        // A reply that is none for a unit says nothing of it.
+        Outcome::Replied(Reply::News(_)) | Outcome::Lost => UnitOutcome::Lost,
     }
 }
--- a/crates/spurpier-pipeline/src/forward/link.rs
+++ b/crates/spurpier-pipeline/src/forward/link.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::messages::{Call, LinkMessage, Reply, VERSION};
@@ -28,12 +28,17 @@
 /// Messages that may wait to be written.
 const WRITE_CAPACITY: usize = 1_024;
 
-/// Why a call has no reply.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CallError {
+/// How often a caller looks whether the other node still runs.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// How a call ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Outcome {
+    /// With a reply.
+    Replied(Reply),
     /// It was not sent.
     NotSent,
-    /// The connection was lost; the call may have been run, or may be run yet.
+    /// Without a reply; it may have been run, or may be run yet.
     Lost,
 }
 
@@ -77,6 +82,11 @@
         Some(link)
     }
 
+    /// Closes the connection.
+    pub fn close(&self) {
+        self.closed.cancel();
+    }
+
     /// Whether calls can be made.
     pub fn is_open(&self) -> bool {
         !self.closed.is_cancelled()
@@ -92,28 +102,43 @@
         self.next_number.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Makes a call and waits for its reply until `end`; a call that may be made elsewhere is given
+    /// up as soon as the other node is suspected to have stopped.
+    pub async fn call_until(&self, call: Call, end: Instant, may_repeat: bool) -> Outcome {
+        let calling = self.call(call);
+        tokio::pin!(calling);
+        loop {
+            let look = end.min(Instant::now() + LOOK);
+            tokio::select! {
+                biased;
+                outcome = &mut calling => return outcome,
+                () = sleep_until(look) => {
+                    if Instant::now() >= end || (may_repeat && self.is_suspect()) {
+                        return Outcome::Lost;
+                    }
+                }
+            }
+        }
+    }
+
     /// Makes a call. Dropping the future tells the other node that nobody awaits it.
-    ///
-    /// # Errors
-    ///
-    /// [`CallError`].
-    pub async fn call(&self, call: Call) -> Result<Reply, CallError> {
+    async fn call(&self, call: Call) -> Outcome {
         let number = self.next_number();
         let (sender, reply) = oneshot::channel();
         {
             let mut pending = self.pending();
             if pending.closed {
-                return Err(CallError::NotSent);
+                return Outcome::NotSent;
             }
             pending.calls.insert(number, sender);
         }
         let _awaited = Awaited { link: self, number };
         let message = LinkMessage::Call { number, call };
         if self.writer.try_send(message).is_err() {
-            return Err(CallError::NotSent);
+            return Outcome::NotSent;
         }
         self.note_sent();
-        reply.await.map_err(|_| CallError::Lost)
+        reply.await.map_or(Outcome::Lost, Outcome::Replied)
     }
 
     /// Counts a transaction that has been opened on the other node.
--- a/crates/spurpier-pipeline/src/forward/messages.rs
+++ b/crates/spurpier-pipeline/src/forward/messages.rs
@@ -11,6 +11,7 @@
 use spurpier_core::position::Position;
 use spurpier_core::wire::{List, decode_bytes, decode_long_text, encode_bytes, encode_long_text};
 
+use crate::known_tables::{Cursor, News};
 use crate::ports::{
     Answer, Completion, Effect, ErrorClass, FreshnessKind, ServerError, TransactionState,
 };
@@ -92,6 +93,15 @@
         /// The statement.
         work: CalledWork,
     },
+    /// Asks what the runner knows of a table of the store.
+    Follow {
+        /// The table's number.
+        table: u8,
+        /// Where the caller stands in what the runner has told; none if it knows nothing.
+        cursor: Option<Cursor>,
+        /// For how long the runner waits for news, in milliseconds.
+        wait_ms: u32,
+    },
 }
 
 /// Where and how a unit runs: what its runner must know of the route.
@@ -158,6 +168,8 @@
     NotTaken,
     /// Its answer.
     Answered(CalledAnswer),
+    /// What is known of a table, and what of it is new.
+    News(News),
 }
 
 /// [`Answer`] as a message carries it, and what it commits.
--- a/crates/spurpier-pipeline/src/forward/mod.rs
+++ b/crates/spurpier-pipeline/src/forward/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`run_single`] and [`PlacedTransaction`] run a session's statements where the group's
 //! connections are, on this node or another one. [`serve`] runs those of other nodes. One
-//! connection to a node carries many calls. What must hold is what holds for servers: a write
+//! connection to a node carries many calls. The same connections tell of the store's tables. What must hold is what holds for servers: a write
 //! whose call may have left is never sent again, and a transaction lives on the connection that
 //! opened it.
 
@@ -15,7 +15,8 @@
 mod transaction;
 
 pub use caller::run_single;
+pub use link::{Link, Outcome};
 pub use links::Links;
-pub use messages::CalledAnswer;
+pub use messages::{Call, CalledAnswer, Reply};
 pub use server::serve;
 pub use transaction::PlacedTransaction;
--- a/crates/spurpier-pipeline/src/forward/server.rs
+++ b/crates/spurpier-pipeline/src/forward/server.rs
@@ -19,6 +19,7 @@
 use super::stream::{MessageReader, prepare_socket, write_messages};
 use super::transaction::PlacedTransaction;
 use crate::context::Context;
+use crate::known_tables::Cursor;
 use crate::ports::{Answer, Effect, ErrorClass, Route, TransactionState};
 use crate::unit::{Times, Unit, Work};
 
@@ -28,6 +29,8 @@
 const CALLER_LOST: Duration = Duration::from_millis(2_500);
 /// After so long without a message an unused connection is closed.
 const UNUSED_LIMIT: Duration = Duration::from_secs(60);
+/// The longest wait for news that is taken.
+const LONGEST_NEWS_WAIT: Duration = Duration::from_secs(5);
 /// Replies that may wait to be written.
 const WRITE_CAPACITY: usize = 4_096;
 
@@ -194,9 +197,35 @@
                 session,
                 work,
             } => self.commit(transaction, &session, Work::from(work)).await,
+            Call::Follow {
+                table,
+                cursor,
+                wait_ms,
+            } => self.tell_news(table, cursor, duration(wait_ms)).await,
         }
     }
 
+    /// Waits until there is something new of a table, and tells it; at the end of the wait only
+    /// how old what is known has become.
+    async fn tell_news(&self, table: u8, cursor: Option<Cursor>, wait: Duration) -> Reply {
+        let known = &self.context.known_tables;
+        let mut changes = known.changes();
+        let news = async {
+            while !known.has_news(table, cursor) {
+                if changes.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            _ = timeout(wait.min(LONGEST_NEWS_WAIT), news) => {}
+            // Those that follow this node are to follow another one.
+            () = self.context.draining.cancelled() => return Reply::NotTaken,
+        }
+        let news = known.news(table, cursor, self.context.clock.now());
+        news.map_or(Reply::NotTaken, Reply::News)
+    }
+
     async fn run_single(&self, head: CallHead, work: Work, effect: Effect) -> Reply {
         let relayed = head.relayed;
         let Some(unit) = self.unit(head) else {
--- a/crates/spurpier-pipeline/src/forward/transaction.rs
+++ b/crates/spurpier-pipeline/src/forward/transaction.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use super::caller::{Outcome, call_within_time, connect, head, session, usable};
+use super::caller::{UnitOutcome, call_within_time, connect, head, session, usable};
 use super::link::Link;
-use super::messages::{Call, CalledWork, Reply};
+use super::messages::{Call, CalledWork};
 use crate::homes::PeerNode;
 use crate::ports::{Answer, Effect, ErrorClass, TransactionState};
 use crate::server::Values;
@@ -153,7 +153,7 @@
         read_only,
     };
     match call_within_time(unit, &link, call, true).await {
-        Outcome::Replied(Reply::Answered(answer)) => {
+        UnitOutcome::Answered(answer) => {
             let (answer, _) = answer.into_parts();
             if answer.outcome.is_ok() {
                 Begun::Open(link, transaction, answer)
@@ -161,8 +161,8 @@
                 Begun::Refused(answer)
             }
         }
-        Outcome::Replied(Reply::NotTaken) | Outcome::NotSent => Begun::NotTaken,
-        Outcome::Lost => {
+        UnitOutcome::NotStarted => Begun::NotTaken,
+        UnitOutcome::Lost => {
             // What may stand open there is dropped; nothing of the client's has run in it.
             link.drop_transaction(transaction);
             unit.note_retry(&work.id, &home.name, "home_silent");
@@ -234,15 +234,15 @@
             effect,
         };
         match call_within_time(&self.unit, &place.link, call, false).await {
-            Outcome::Replied(Reply::Answered(answer)) => {
+            UnitOutcome::Answered(answer) => {
                 let (answer, _) = answer.into_parts();
                 if answer.state == TransactionState::Open {
                     self.place = Some(place);
                 }
                 answer
             }
-            Outcome::Replied(Reply::NotTaken) => self.aborted(work, "home_not_taken"),
-            Outcome::NotSent | Outcome::Lost => self.aborted(work, "home_lost"),
+            UnitOutcome::NotStarted => self.aborted(work, "home_not_taken"),
+            UnitOutcome::Lost => self.aborted(work, "home_lost"),
         }
     }
 
@@ -262,16 +262,16 @@
             work: CalledWork::from(work),
         };
         match call_within_time(&self.unit, &place.link, call, false).await {
-            Outcome::Replied(Reply::Answered(answer)) => {
+            UnitOutcome::Answered(answer) => {
                 place.is_committed = true;
                 Done::of_call(answer)
             }
-            Outcome::Replied(Reply::NotTaken) | Outcome::NotSent => {
+            UnitOutcome::NotStarted => {
                 let mut answer = self.aborted(work, "home_not_taken");
                 answer.state = TransactionState::Idle;
                 Done::answer(answer)
             }
-            Outcome::Lost => {
+            UnitOutcome::Lost => {
                 let doubt = self
                     .unit
                     .doubt(&work.id, ErrorClass::InDoubt, &self.home.name);
--- a/crates/spurpier-pipeline/src/homes.rs
+++ b/crates/spurpier-pipeline/src/homes.rs
@@ -64,23 +64,36 @@
     pub address: SocketAddr,
 }
 
-/// The homes of one group, as one node sees them.
+/// The nodes that were chosen, as homes of a group or as watchers, as one node sees them.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct GroupHomes {
+pub struct ChosenNodes {
     /// Whether this node is one of them.
     pub is_own: bool,
     /// How many there are, this node among them if it is one.
     pub count: usize,
-    /// The others, in the order in which this node hands them units: the nearest first.
+    /// The others, in the order in which this node asks them: the nearest first.
     pub others: Vec<PeerNode>,
 }
 
+impl ChosenNodes {
+    /// Before the list of nodes has been read: this node does everything itself.
+    fn unknown() -> Self {
+        ChosenNodes {
+            is_own: true,
+            count: UNKNOWN_NODES,
+            others: Vec::new(),
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     /// The listed nodes; none before the list was read.
     nodes: Option<BTreeMap<String, NodeEntry>>,
     /// The homes of groups, by name, for so many connections to each server.
-    ranked: HashMap<String, (usize, Arc<GroupHomes>)>,
+    ranked: HashMap<String, (usize, Arc<ChosenNodes>)>,
+    /// The nodes that follow the store.
+    watchers: Option<Arc<ChosenNodes>>,
 }
 
 /// The nodes that are listed, and the homes of groups.
@@ -92,6 +105,18 @@
     inner: Mutex<Inner>,
 }
 
+/// What nodes are ranked for as watchers of the store.
+const WATCHED_SUBJECT: &str = "store";
+/// How many nodes follow the store, if each zone has one; all do if they are no more.
+const WATCHERS: usize = 8;
+
+fn watchers_per_zone(nodes: usize, zones: usize) -> usize {
+    if nodes <= WATCHERS {
+        return nodes.max(1);
+    }
+    (WATCHERS / zones.max(1)).max(1)
+}
+
 /// How many nodes share the connections until the list of nodes has been read.
 const UNKNOWN_NODES: usize = 12;
 
@@ -111,6 +136,7 @@
         let mut inner = self.lock();
         change(inner.nodes.get_or_insert_default());
         inner.ranked.clear();
+        inner.watchers = None;
     }
 
     /// Where a node is reached; none if it is not listed.
@@ -121,7 +147,7 @@
     }
 
     /// The homes of a group whose servers take so many connections each.
-    pub fn of(&self, group: &str, connections: usize) -> Arc<GroupHomes> {
+    pub fn of(&self, group: &str, connections: usize) -> Arc<ChosenNodes> {
         let mut inner = self.lock();
         if let Some((known_connections, homes)) = inner.ranked.get(group)
             && *known_connections == connections
@@ -129,24 +155,37 @@
             return Arc::clone(homes);
         }
         let Some(nodes) = &inner.nodes else {
-            return Arc::new(GroupHomes {
-                is_own: true,
-                count: UNKNOWN_NODES,
-                others: Vec::new(),
-            });
+            return Arc::new(ChosenNodes::unknown());
         };
-        let homes = Arc::new(self.rank(nodes, group, connections));
+        let per_zone = |nodes, zones| homes_per_zone(connections, nodes, zones);
+        let homes = Arc::new(self.choose(nodes, group, per_zone));
         let known = (connections, Arc::clone(&homes));
         inner.ranked.insert(group.to_owned(), known);
         homes
     }
 
-    fn rank(
+    /// The nodes that follow the store; the others follow them.
+    pub fn watchers(&self) -> Arc<ChosenNodes> {
+        let mut inner = self.lock();
+        if let Some(watchers) = &inner.watchers {
+            return Arc::clone(watchers);
+        }
+        let Some(nodes) = &inner.nodes else {
+            return Arc::new(ChosenNodes::unknown());
+        };
+        let watchers = Arc::new(self.choose(nodes, WATCHED_SUBJECT, watchers_per_zone));
+        inner.watchers = Some(Arc::clone(&watchers));
+        watchers
+    }
+
+    /// Chooses the first-ranked nodes of each zone; `per_zone` gives how many, for so many nodes
+    /// in so many zones.
+    fn choose(
         &self,
         listed: &BTreeMap<String, NodeEntry>,
-        group: &str,
-        connections: usize,
-    ) -> GroupHomes {
+        subject: &str,
+        per_zone: impl FnOnce(usize, usize) -> usize,
+    ) -> ChosenNodes {
         // This node counts itself also while its entry is not listed yet.
         let mut nodes: BTreeMap<&str, &NodeEntry> = listed
             .iter()
@@ -154,7 +193,7 @@
             .collect();
         nodes.insert(&self.own_name, &self.own);
         let zones: BTreeSet<&str> = nodes.values().map(|node| node.zone.as_str()).collect();
-        let per_zone = homes_per_zone(connections, nodes.len(), zones.len());
+        let per_zone = per_zone(nodes.len(), zones.len());
         let mut chosen = Vec::new();
         for zone in zones {
             let members: Vec<_> = nodes.iter().filter(|(_, node)| node.zone == zone).collect();
@@ -162,7 +201,7 @@
                 .iter()
                 .map(|(name, node)| ranked_node(name, node))
                 .collect();
-            let order = rank_homes(group, &ranked).into_iter().take(per_zone);
+            let order = rank_homes(subject, &ranked).into_iter().take(per_zone);
             chosen.extend(order.map(|index| {
                 let (name, node) = members[index];
                 (self.distance(&node.zone), *name, node.address)
@@ -171,7 +210,7 @@
         // Stable: nodes at the same distance stay in the order of their zones and ranks.
         chosen.sort_by_key(|(distance, _, _)| *distance);
         let others = chosen.iter().filter(|(_, name, _)| *name != self.own_name);
-        GroupHomes {
+        ChosenNodes {
             is_own: chosen.iter().any(|(_, name, _)| *name == self.own_name),
             count: chosen.len(),
             others: others
--- /dev/null
+++ b/crates/spurpier-pipeline/src/known_tables.rs
@@ -0,0 +1,213 @@
+//! The store's tables as this node last saw them, and what it tells of them to other nodes.
+//!
+//! Few nodes follow the store; the others follow one of these, and a node that the store does not
+//! answer follows any other. A node that follows is told the changes since the point that it
+//! names, or the whole table if these are not remembered.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use nanoserde::{DeBin, DeBinErr, SerBin};
+use spurpier_core::time::Timestamp;
+use spurpier_core::wire::{List, decode_bytes, decode_long_text, encode_bytes, encode_long_text};
+use tokio::sync::watch;
+
+use crate::ports::{Row, Table};
+
+/// Changes of one table that are remembered.
+const REMEMBERED: usize = 1_024;
+
+/// The tables that nodes follow, by the number that messages carry.
+const FOLLOWED: [Table; 3] = [Table::Configuration, Table::Servers, Table::Nodes];
+
+/// The number by which messages name a table; none if nodes do not tell each other of it.
+pub fn table_number(table: Table) -> Option<u8> {
+    let index = FOLLOWED.iter().position(|followed| *followed == table)?;
+    u8::try_from(index).ok()
+}
+
+/// A point in what one life of a node has seen of a table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct Cursor {
+    /// The life.
+    pub life: u64,
+    /// How many changes it had seen.
+    pub changes: u64,
+}
+
+/// What a node tells of a table.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct News {
+    /// The point that it brings a follower to.
+    pub cursor: Cursor,
+    /// Whether it is the whole table, so that rows which are not in it are gone.
+    pub whole: bool,
+    /// The store's version of it.
+    pub version: u64,
+    /// How long ago the store last told of the table, in milliseconds.
+    pub age_ms: u32,
+    /// The rows, in the order of their changes.
+    pub rows: List<ToldRow>,
+}
+
+/// A row as a message carries it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ToldRow(pub Row);
+
+impl SerBin for ToldRow {
+    fn ser_bin(&self, output: &mut Vec<u8>) {
+        encode_long_text(&self.0.key, output);
+        encode_bytes(&self.0.value, output);
+        self.0.version.ser_bin(output);
+        self.0.gone.ser_bin(output);
+    }
+}
+
+impl DeBin for ToldRow {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Self, DeBinErr> {
+        Ok(ToldRow(Row {
+            key: decode_long_text(offset, bytes)?.to_owned(),
+            value: Bytes::copy_from_slice(decode_bytes(offset, bytes)?),
+            version: u64::de_bin(offset, bytes)?,
+            gone: bool::de_bin(offset, bytes)?,
+        }))
+    }
+}
+
+#[derive(Debug, Default)]
+struct KnownTable {
+    rows: BTreeMap<String, Row>,
+    version: u64,
+    /// When the store last told of it, on this node's clock; none before it did.
+    told_at: Option<Timestamp>,
+    /// Changes since the beginning of this life, the last ones of which are remembered.
+    changes: u64,
+    remembered: VecDeque<Row>,
+}
+
+impl KnownTable {
+    fn remember(&mut self, row: &Row) {
+        self.changes += 1;
+        self.remembered.push_back(row.clone());
+        if self.remembered.len() > REMEMBERED {
+            self.remembered.pop_front();
+        }
+    }
+
+    /// The changes behind a point; none if they are not all remembered.
+    fn since(&self, changes: u64) -> Option<Vec<ToldRow>> {
+        let missing = usize::try_from(self.changes.checked_sub(changes)?).ok()?;
+        let first = self.remembered.len().checked_sub(missing)?;
+        let rows = self.remembered.range(first..);
+        Some(rows.cloned().map(ToldRow).collect())
+    }
+}
+
+/// The tables as this node last saw them.
+#[derive(Debug)]
+pub struct KnownTables {
+    /// Tells this life from others.
+    life: u64,
+    tables: Mutex<[KnownTable; FOLLOWED.len()]>,
+    changed: watch::Sender<u64>,
+}
+
+impl KnownTables {
+    /// Nothing is known yet; `life` differs from that of every other process.
+    pub fn new(life: u64) -> Self {
+        KnownTables {
+            life,
+            tables: Mutex::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    /// Takes in a whole table, as the store told it at `told_at`.
+    pub fn replace(&self, table: Table, rows: &[Row], version: u64, told_at: Timestamp) {
+        self.update(table, |known| {
+            let rows = rows.iter().map(|row| (row.key.clone(), row.clone()));
+            known.rows = rows.collect();
+            known.version = version;
+            known.told_at = Some(told_at);
+            // Those that follow must be told the whole table: a change of which none remembers.
+            known.changes += 1;
+            known.remembered.clear();
+        });
+    }
+
+    /// Takes in what has changed, if anything has, as the store told it at `told_at`.
+    pub fn change(&self, table: Table, rows: &[Row], version: u64, told_at: Timestamp) {
+        self.update(table, |known| {
+            for row in rows {
+                if row.gone {
+                    known.rows.remove(&row.key);
+                } else {
+                    known.rows.insert(row.key.clone(), row.clone());
+                }
+                known.remember(row);
+            }
+            known.version = known.version.max(version);
+            known.told_at = known.told_at.max(Some(told_at));
+        });
+    }
+
+    fn update(&self, table: Table, change: impl FnOnce(&mut KnownTable)) {
+        let Some(number) = table_number(table) else {
+            return;
+        };
+        let has_changed = {
+            let mut tables = self.lock();
+            let known = &mut tables[usize::from(number)];
+            let before = known.changes;
+            change(known);
+            known.changes != before
+        };
+        if has_changed {
+            self.changed.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// A receiver that is told of changes of any table.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Whether there is anything behind a point of a table.
+    pub fn has_news(&self, number: u8, cursor: Option<Cursor>) -> bool {
+        let tables = self.lock();
+        let Some(known) = tables.get(usize::from(number)) else {
+            return false;
+        };
+        let at = Cursor {
+            life: self.life,
+            changes: known.changes,
+        };
+        known.told_at.is_some() && cursor != Some(at)
+    }
+
+    /// What is to be told of a table behind a point; none if nothing is known of it.
+    pub fn news(&self, number: u8, cursor: Option<Cursor>, now: Timestamp) -> Option<News> {
+        let tables = self.lock();
+        let known = tables.get(usize::from(number))?;
+        let age = now.since(known.told_at?);
+        let own = cursor.filter(|cursor| cursor.life == self.life);
+        let changes = own.and_then(|cursor| known.since(cursor.changes));
+        let whole = changes.is_none();
+        let all = || known.rows.values().cloned().map(ToldRow).collect();
+        Some(News {
+            cursor: Cursor {
+                life: self.life,
+                changes: known.changes,
+            },
+            whole,
+            version: known.version,
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            rows: List(changes.unwrap_or_else(all)),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, [KnownTable; FOLLOWED.len()]> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/spurpier-pipeline/src/membership.rs
+++ b/crates/spurpier-pipeline/src/membership.rs
@@ -57,7 +57,7 @@
 }
 
 impl RowSink for NodeSink {
-    fn replace(&mut self, rows: &[Row], _version: u64) {
+    fn replace(&mut self, rows: &[Row]) {
         self.0.homes.update(|nodes| {
             nodes.clear();
             let listed = rows
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -3,10 +3,12 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
+use rand::RngExt;
 use spurpier_core::retry::RetryBudget;
 use spurpier_events::log_event;
 use tokio::net::{TcpListener, UdpSocket};
@@ -22,8 +24,8 @@
 use crate::events;
 use crate::follow::follow;
 use crate::forward::{self, Links};
-use crate::handed_on::{self, KnownRows};
 use crate::homes::Homes;
+use crate::known_tables::KnownTables;
 use crate::log_budget::LogBudget;
 use crate::membership::{NodeSink, list_self, unlist_self};
 use crate::ports::{
@@ -131,7 +133,8 @@
         start_tasks(&context, listeners.ready);
         start_duty(&context, listeners.internal);
         tokio::spawn(forward::serve(Arc::clone(&context), listeners.forwarded));
-        tokio::spawn(handed_on::serve(Arc::clone(&context), listeners.control));
+        // Nodes that start ask the seeds at their control addresses.
+        tokio::spawn(forward::serve(Arc::clone(&context), listeners.control));
         log_event!(
             events::NODE_STARTED,
             node = context.settings.node.name,
@@ -177,9 +180,9 @@
             configuration: watch::Sender::new(None),
             groups: Mutex::default(),
             links: Links::default(),
-            store_answered_at: Mutex::default(),
+            store_lost: AtomicBool::new(false),
             directory_known: watch::Sender::new(false),
-            known_rows: KnownRows::default(),
+            known_tables: KnownTables::new(rand::rng().random()),
             log_budget: LogBudget::default(),
             forwarded: TaskTracker::new(),
             draining: CancellationToken::new(),
