Ask the other servers for the lead once the known one is silent

Ruled out: the store, whose entries told the new role in time.

Change: choose_lead puts a server that answers before the silent one that proved the lead last. Tests in spurpier-core's lead tests.

--- /dev/null
+++ b/crates/spurpier-core/src/lead/candidate.rs
@@ -0,0 +1,26 @@
+//! Which server is asked for the lead.
+
+/// What is known of a server that may lead.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeadCandidate {
+    /// Whether it proved the lead last, and has not refused it since.
+    pub proved: bool,
+    /// Whether its entry in the directory says that it leads.
+    pub claims: bool,
+    /// Whether it has left its last messages without an answer.
+    pub silent: bool,
+    /// The version of its entry.
+    pub version: u64,
+}
+
+/// The index of the server to ask for the lead; none if there is none to ask.
+///
+/// The one that proved the lead goes first while it answers. Once it is silent, any other that
+/// answers goes before it, whatever the directory says: a promotion may have taken the lead, and
+/// the directory may be old. A server that does not lead refuses, at the price of a round trip.
+pub fn choose_lead(candidates: &[LeadCandidate]) -> Option<usize> {
+    let ranked = candidates.iter().enumerate();
+    ranked
+        .max_by_key(|(_, one)| (!one.silent, one.proved, one.claims, one.version))
+        .map(|(index, _)| index)
+}
--- a/crates/spurpier-core/src/lead/mod.rs
+++ b/crates/spurpier-core/src/lead/mod.rs
@@ -5,12 +5,14 @@
 //! moment at which it lost the lead, so that each accepted one proves the lead at a moment no
 //! earlier than the sending of its opening statement.
 
+mod candidate;
 mod choice;
 mod duty;
 mod evidence;
 mod failover;
 mod homes;
 
+pub use candidate::{LeadCandidate, choose_lead};
 pub use choice::{Distance, ServerLoad, choose_read_server};
 pub use duty::{DutyRow, DutyStep, HolderRecord, next_step};
 pub use evidence::{LeadEvidence, OwnCommit, Proof, read_floor};
--- a/crates/spurpier-core/tests/lead.rs
+++ b/crates/spurpier-core/tests/lead.rs
@@ -4,9 +4,9 @@
 
 use spurpier_core::homes::subject_digest;
 use spurpier_core::lead::{
-    Candidate, Distance, DutyRow, DutyStep, HolderRecord, LeadEvidence, Missing, OwnCommit, Proof,
-    RankedNode, ServerLoad, Sight, Verdict, choose_read_server, choose_successor, homes_per_zone,
-    judge, next_step, rank_homes, read_floor,
+    Candidate, Distance, DutyRow, DutyStep, HolderRecord, LeadCandidate, LeadEvidence, Missing,
+    OwnCommit, Proof, RankedNode, ServerLoad, Sight, Verdict, choose_lead, choose_read_server,
+    choose_successor, homes_per_zone, judge, next_step, rank_homes, read_floor,
 };
 use spurpier_core::membership::NodeKey;
 use spurpier_core::position::Position;
@@ -347,3 +347,31 @@
     assert_eq!(homes_per_zone(100, 73, 6), 2);
     assert_eq!(homes_per_zone(1, 73, 6), 1, "at least one");
 }
+
+fn lead_candidate(proved: bool, claims: bool, silent: bool, version: u64) -> LeadCandidate {
+    LeadCandidate {
+        proved,
+        claims,
+        silent,
+        version,
+    }
+}
+
+#[test]
+fn the_lead_that_proved_itself_is_asked_first_while_it_answers() {
+    let proved = lead_candidate(true, false, false, 1);
+    let claiming = lead_candidate(false, true, false, 9);
+    assert_eq!(choose_lead(&[claiming, proved]), Some(1));
+    assert_eq!(choose_lead(&[]), None);
+}
+
+#[test]
+fn a_silent_lead_keeps_nobody_from_asking_the_others() {
+    let silent = lead_candidate(true, true, true, 9);
+    let replica = lead_candidate(false, false, false, 1);
+    let claiming = lead_candidate(false, true, false, 2);
+    assert_eq!(choose_lead(&[silent, replica, claiming]), Some(2));
+    assert_eq!(choose_lead(&[silent, replica]), Some(1));
+    let others_silent = lead_candidate(false, true, true, 2);
+    assert_eq!(choose_lead(&[others_silent, silent]), Some(1));
+}
--- a/crates/spurpier-pipeline/src/group.rs
+++ b/crates/spurpier-pipeline/src/group.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use spurpier_core::lead::{LeadEvidence, OwnCommit, Proof, read_floor};
+use spurpier_core::lead::{LeadCandidate, LeadEvidence, OwnCommit, Proof, choose_lead, read_floor};
 use spurpier_core::position::Position;
 use spurpier_core::time::Timestamp;
 use tokio::sync::watch;
@@ -124,9 +124,7 @@
 
     /// The server to ask for the lead next; none while all have just refused.
     ///
-    /// The last one that proved the lead goes first, then those that say that they lead, the
-    /// newest entry first, and then the others: an entry may be old while the store is down.
-    /// A server that leaves may lead for `leaving_use` at most.
+    /// [`choose_lead`] chooses among those that have not just refused. A server that leaves may lead for `leaving_use` at most.
     pub fn lead_candidate(&self, now: Timestamp, leaving_use: Duration) -> Option<Arc<Server>> {
         let inner = self.lock();
         let may_lead = |server: &&Arc<Server>| {
@@ -135,14 +133,12 @@
             let leaving_for = server.leaving_for(now).unwrap_or_default();
             !is_denied && leaving_for < leaving_use
         };
-        let known = inner.lead.as_ref().and_then(|lead| inner.servers.get(lead));
-        let known = known.filter(may_lead);
-        known
-            .or_else(|| {
-                let candidates = inner.servers.values().filter(may_lead);
-                candidates.max_by_key(|server| candidate_rank(server, now))
-            })
-            .map(Arc::clone)
+        let servers: Vec<&Arc<Server>> = inner.servers.values().filter(may_lead).collect();
+        let candidates: Vec<LeadCandidate> = servers
+            .iter()
+            .map(|server| lead_candidate(server, inner.lead.as_deref()))
+            .collect();
+        choose_lead(&candidates).map(|index| Arc::clone(servers[index]))
     }
 
     /// Takes in that a server accepted a message which only the lead accepts.
@@ -258,15 +254,15 @@
     }
 }
 
-/// How likely a server leads: whether it says so, whether it answers, and how new its entry is.
-fn candidate_rank(server: &Server, now: Timestamp) -> (bool, bool, u64) {
-    let answers = server.health().avoided_until <= now;
-    let (claims, version) = {
-        let listing = server.listing();
-        let claims = listing.entry.role == ServerRole::Primary && !listing.gone;
-        (claims, listing.version)
-    };
-    (claims, answers, version)
+fn lead_candidate(server: &Server, lead: Option<&str>) -> LeadCandidate {
+    let silent = server.health().is_silent();
+    let listing = server.listing();
+    LeadCandidate {
+        proved: lead == Some(server.instance.as_str()),
+        claims: listing.entry.role == ServerRole::Primary && !listing.gone,
+        silent,
+        version: listing.version,
+    }
 }
 
 /// The turn to ask for a proof; ends when dropped.
