--- a/crates/spurpier-pipeline/src/directory.rs
+++ b/crates/spurpier-pipeline/src/directory.rs
@@ -240,6 +240,23 @@
     share_connections(&context);
 }
 
+/// How long a connection stays open that nobody uses.
+const UNUSED_LIMIT: Duration = Duration::from_millis(1_500);
+/// How often unused connections are looked for.
+const UNUSED_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Closes connections that nobody uses; never returns.
+pub async fn close_unused(context: Arc<Context>) {
+    loop {
+        tokio::time::sleep(UNUSED_INTERVAL).await;
+        for group in context.all_groups() {
+            for server in group.servers() {
+                server.pool.close_unused(UNUSED_LIMIT);
+            }
+        }
+    }
+}
+
 /// Gives each pool this node's share anew.
 pub fn share_connections(context: &Context) {
     for group in context.all_groups() {
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -19,7 +19,9 @@
 
 use crate::clock::Clock;
 use crate::context::{Context, RETRY_BUDGET};
-use crate::directory::{ConfigurationSink, ServerSink, forget_gone, share_after_start};
+use crate::directory::{
+    ConfigurationSink, ServerSink, close_unused, forget_gone, share_after_start,
+};
 use crate::duty::{Peers, watch_groups};
 use crate::events;
 use crate::follow::follow;
@@ -203,6 +205,7 @@
     tokio::spawn(follow(shared(), Table::Nodes, NodeSink(shared())));
     tokio::spawn(forget_gone(shared()));
     tokio::spawn(share_after_start(shared()));
+    tokio::spawn(close_unused(shared()));
     tokio::spawn(list_self(shared()));
 }
 
--- a/crates/spurpier-pipeline/src/server/pool.rs
+++ b/crates/spurpier-pipeline/src/server/pool.rs
@@ -34,9 +34,17 @@
     pub instance: String,
 }
 
+/// A connection that nobody uses.
+#[derive(Debug)]
+struct Idle {
+    connection: ServerConnection,
+    since: Timestamp,
+}
+
 #[derive(Debug)]
 struct PoolInner {
-    idle: Vec<ServerConnection>,
+    /// The one that was given back last stands last.
+    idle: Vec<Idle>,
     total: usize,
     limit: usize,
     waiting: usize,
@@ -94,6 +102,23 @@
         self.freed.notify_waiters();
     }
 
+    /// Closes the connections that nobody has used for `limit`, but for one.
+    ///
+    /// A server keeps the connections of a machine that lost power for a while, and takes no more
+    /// than its limit: what is not open then is free for the machine's next start.
+    pub fn close_unused(&self, limit: Duration) {
+        let now = self.clock.now();
+        let closed: Vec<Idle> = {
+            let mut inner = self.lock();
+            let unused = inner.idle.iter();
+            let unused = unused.take_while(|idle| now.since(idle.since) >= limit);
+            let surplus = unused.count().min(inner.total.saturating_sub(1));
+            inner.total -= surplus;
+            inner.idle.drain(..surplus).collect()
+        };
+        drop(closed);
+    }
+
     /// Closes the idle connections, as for a server that is leaving or silent.
     pub fn close_idle(&self) {
         let closed = {
@@ -152,7 +177,8 @@
             let mut connection = {
                 let mut inner = self.lock();
                 let index = best_match(&inner.idle, values)?;
-                inner.idle.swap_remove(index)
+                // Keeps the order by age.
+                inner.idle.remove(index).connection
             };
             if connection.is_alive() {
                 return Some(connection);
@@ -182,7 +208,8 @@
                 inner.total -= 1;
                 Some(connection)
             } else {
-                inner.idle.push(connection);
+                let since = self.clock.now();
+                inner.idle.push(Idle { connection, since });
                 None
             }
         };
@@ -201,15 +228,15 @@
 }
 
 /// The idle connection that needs the fewest statements before a session's work.
-fn best_match(idle: &[ServerConnection], values: &Values) -> Option<usize> {
-    let cost = |connection: &ServerConnection| match &connection.values {
+fn best_match(idle: &[Idle], values: &Values) -> Option<usize> {
+    let cost = |idle: &Idle| match &idle.connection.values {
         known if known == values => 0,
         known if known.is_empty() => 1,
         _ => 2,
     };
     let candidates = idle.iter().enumerate().rev();
     candidates
-        .min_by_key(|(_, connection)| cost(connection))
+        .min_by_key(|(_, idle)| cost(idle))
         .map(|(index, _)| index)
 }
 
