Pause after a server's refusal for too many connections, and probe lost homes beside the units

Units found out themselves, each time for their whole patience, whether a lost home was back (no_home). Change: a pool waits 60 to 600 ms after such a refusal; a home that could not be reached is tried each 300 ms beside the units' way and passed over meanwhile. The probe has no test of its own yet.

--- a/crates/spurpier-pipeline/src/forward/caller.rs
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -72,11 +72,10 @@
 
 /// The other homes that have not just failed to answer, in the order in which they are tried.
 pub(super) fn usable(unit: &Unit, homes: &ChosenNodes) -> Vec<PeerNode> {
-    let now = unit.context.clock.now();
     let links = &unit.context.links;
     let others = homes.others.iter();
     others
-        .filter(|home| links.is_usable(home.address, now))
+        .filter(|home| links.is_usable(home.address))
         .cloned()
         .collect()
 }
--- a/crates/spurpier-pipeline/src/forward/links.rs
+++ b/crates/spurpier-pipeline/src/forward/links.rs
@@ -2,17 +2,20 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use spurpier_core::time::Timestamp;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 use super::link::Link;
 use crate::clock::Clock;
 
-/// For how long a node that could not be reached is passed over.
-const AVOIDANCE: Duration = Duration::from_millis(1_000);
+/// How often a node that could not be reached is tried again, beside the units' way.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// For how long a node that cannot be reached is tried; then units find out again.
+const PROBE_LIMIT: Duration = Duration::from_secs(10);
 
 /// The connections to other nodes, by their addresses.
 #[derive(Debug, Default)]
@@ -24,18 +27,18 @@
     link: Mutex<Option<Arc<Link>>>,
     /// Held while a connection is being made, so that one serves all that wait.
     connecting: tokio::sync::Mutex<()>,
-    avoided_until: Mutex<Timestamp>,
+    /// Whether it could not be reached and is being tried beside the units' way.
+    unreachable: AtomicBool,
 }
 
 impl Links {
     /// Whether a node has not just failed to answer.
-    pub fn is_usable(&self, address: SocketAddr, now: Timestamp) -> bool {
+    pub fn is_usable(&self, address: SocketAddr) -> bool {
         let Some(slot) = self.lock().get(&address).map(Arc::clone) else {
             return true;
         };
-        let avoided_until = *locked(&slot.avoided_until);
         let is_suspect = slot.open_link().is_some_and(|link| link.is_suspect());
-        avoided_until <= now && !is_suspect
+        !slot.unreachable.load(Ordering::Relaxed) && !is_suspect
     }
 
     /// The connection to a node, made if there is none; none if it cannot be reached by `until`.
@@ -52,8 +55,8 @@
         let connecting = slot.connect(address);
         let link = timeout_at(clock.instant(until), connecting).await;
         let link = link.ok().flatten();
-        if link.is_none() {
-            *locked(&slot.avoided_until) = clock.now() + AVOIDANCE;
+        if link.is_none() && !slot.unreachable.swap(true, Ordering::Relaxed) {
+            tokio::spawn(slot.probe(address));
         }
         link
     }
@@ -69,6 +72,18 @@
         link.as_ref().filter(|link| link.is_open()).map(Arc::clone)
     }
 
+    /// Tries to reach the node, so that no unit has to find out that it is back.
+    async fn probe(self: Arc<Self>, address: SocketAddr) {
+        let probing = async {
+            while self.connect(address).await.is_none() {
+                tokio::time::sleep(PROBE_INTERVAL).await;
+            }
+        };
+        // A node that stays away is tried again when a unit would use it.
+        let _ = timeout(PROBE_LIMIT, probing).await;
+        self.unreachable.store(false, Ordering::Relaxed);
+    }
+
     async fn connect(&self, address: SocketAddr) -> Option<Arc<Link>> {
         let _turn = self.connecting.lock().await;
         if let Some(link) = self.open_link() {
--- a/crates/spurpier-pipeline/src/server/pool.rs
+++ b/crates/spurpier-pipeline/src/server/pool.rs
@@ -4,13 +4,18 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use rand::RngExt;
+use spurpier_core::retry::Backoff;
 use spurpier_core::time::Timestamp;
 use tokio::sync::Notify;
 
 use super::connection::{OpenError, ServerConnection, Values};
 use crate::clock::Clock;
-use crate::ports::ServerDialect;
+use crate::ports::{ErrorClass, ServerDialect};
 
+/// The pauses before a server that has too many connections is asked for one again.
+const FIRST_FULL_PAUSE: Duration = Duration::from_millis(60);
+const LONGEST_FULL_PAUSE: Duration = Duration::from_millis(600);
 /// How long opening a connection may take.
 const OPEN_LIMIT: Duration = Duration::from_millis(1_000);
 
@@ -51,6 +56,10 @@
     opening: usize,
     /// The newest connection that could not be opened.
     failure: Option<(Timestamp, OpenError)>,
+    /// Until when no connection is opened, since the server has too many.
+    full_until: Timestamp,
+    /// The pauses after refusals for too many connections.
+    full_backoff: Backoff,
 }
 
 /// The connections to one server.
@@ -82,6 +91,8 @@
                 waiting: 0,
                 opening: 0,
                 failure: None,
+                full_until: Timestamp::ZERO,
+                full_backoff: Backoff::new(FIRST_FULL_PAUSE, LONGEST_FULL_PAUSE),
             }),
             freed: Notify::new(),
         })
@@ -166,10 +177,17 @@
             .map(|(_, error)| error)
     }
 
+    /// Waits until a connection may be free or may be opened.
     async fn wait_for_room(&self, deadline: Timestamp) -> Result<(), AcquireError> {
-        let end = self.clock.instant(deadline);
-        let freed = tokio::time::timeout_at(end, self.freed.notified()).await;
-        freed.map_err(|_| AcquireError::Full)
+        let now = self.clock.now();
+        let full_until = self.lock().full_until;
+        let opens_again = full_until > now && full_until < deadline;
+        let look = if opens_again { full_until } else { deadline };
+        let freed = tokio::time::timeout_at(self.clock.instant(look), self.freed.notified()).await;
+        if freed.is_err() && !opens_again {
+            return Err(AcquireError::Full);
+        }
+        Ok(())
     }
 
     fn take_idle(&self, values: &Values) -> Option<ServerConnection> {
@@ -190,7 +208,8 @@
     /// One more connection, if the limit allows and not enough are being opened already.
     fn start_opening(self: &Arc<Self>) -> Option<Opening> {
         let mut inner = self.lock();
-        let wanted = inner.total < inner.limit && inner.opening < inner.waiting;
+        let may_open = inner.total < inner.limit && self.clock.now() >= inner.full_until;
+        let wanted = may_open && inner.opening < inner.waiting;
         wanted.then(|| {
             inner.total += 1;
             inner.opening += 1;
@@ -217,6 +236,18 @@
         self.freed.notify_one();
     }
 
+    /// Takes in that a connection could not be opened. A server that has too many is not asked
+    /// again at once: other nodes must close some first.
+    fn note_failure(&self, error: OpenError) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.failure = Some((now, error));
+        if error == OpenError::Refused(ErrorClass::TooManyConnections) && inner.full_until <= now {
+            let pause = inner.full_backoff.next_pause(rand::rng().random());
+            inner.full_until = now + pause;
+        }
+    }
+
     fn forget(&self) {
         self.lock().total -= 1;
         self.freed.notify_one();
@@ -270,8 +301,11 @@
         let open = ServerConnection::open(target.address, dialect, &target.group, &target.instance);
         let opened = tokio::time::timeout(OPEN_LIMIT, open).await;
         match opened.unwrap_or(Err(OpenError::Unreachable)) {
-            Ok(connection) => self.connection = Some(connection),
-            Err(error) => pool.lock().failure = Some((pool.clock.now(), error)),
+            Ok(connection) => {
+                pool.lock().full_backoff.reset();
+                self.connection = Some(connection);
+            }
+            Err(error) => pool.note_failure(error),
         }
     }
 }
