Hand units to a home nearby while this one has no free connection

A home's share of a server is four to six connections, and transactions that rest take them up on one home while another has some free. Change: a home at which units wait for the server's connections hands further ones to another home in its region, once.

--- a/crates/spurpier-pipeline/src/forward/caller.rs
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -50,11 +50,9 @@
     run_at_home(unit, work, effect).await
 }
 
-/// Runs a statement on this node's connections, or at a node that reaches the lead if this one
-/// does not.
+/// Runs a statement on this node's connections, or at another home that is better off.
 pub(super) async fn run_at_home(unit: &Unit, work: &Work, effect: Effect) -> Done {
-    if unit.needs_lead(effect)
-        && let Some(relay) = unit.relay()
+    if let Some(relay) = unit.better_home(effect)
         && let Some(link) = connect(unit, &relay).await
     {
         let call = single(unit, work, effect, true);
--- a/crates/spurpier-pipeline/src/forward/transaction.rs
+++ b/crates/spurpier-pipeline/src/forward/transaction.rs
@@ -43,19 +43,20 @@
         Self::begin_at_home(unit, work, read_only, true).await
     }
 
-    /// Opens a transaction on this node's connections, or at a node that reaches the lead if this
-    /// one does not and may hand it on.
+    /// Opens a transaction on this node's connections, or at another home that is better off if it
+    /// may be handed on.
     pub async fn begin_at_home(
         unit: Unit,
         work: &Work,
         read_only: bool,
         may_relay: bool,
     ) -> (Answer, Option<Self>) {
-        let needs_lead = !read_only || unit.needs_lead(Effect::Read);
-        if may_relay
-            && needs_lead
-            && let Some(relay) = unit.relay()
-        {
+        let effect = if read_only {
+            Effect::Read
+        } else {
+            Effect::Write
+        };
+        if may_relay && let Some(relay) = unit.better_home(effect) {
             match begin_there(&unit, work, read_only, &relay, true).await {
                 Begun::Open(link, number, answer) => {
                     return opened(unit, link, number, relay, answer);
--- a/crates/spurpier-pipeline/src/homes.rs
+++ b/crates/spurpier-pipeline/src/homes.rs
@@ -71,6 +71,8 @@
     pub is_own: bool,
     /// How many there are, this node among them if it is one.
     pub count: usize,
+    /// How many of the others stand in this node's region; they come first.
+    pub near: usize,
     /// The others, in the order in which this node asks them: the nearest first.
     pub others: Vec<PeerNode>,
 }
@@ -81,6 +83,7 @@
         ChosenNodes {
             is_own: true,
             count: UNKNOWN_NODES,
+            near: 0,
             others: Vec::new(),
         }
     }
@@ -209,11 +212,13 @@
         }
         // Stable: nodes at the same distance stay in the order of their zones and ranks.
         chosen.sort_by_key(|(distance, _, _)| *distance);
-        let others = chosen.iter().filter(|(_, name, _)| *name != self.own_name);
+        let others = || chosen.iter().filter(|(_, name, _)| *name != self.own_name);
+        let near = others().filter(|(distance, _, _)| *distance != Distance::Remote);
         ChosenNodes {
             is_own: chosen.iter().any(|(_, name, _)| *name == self.own_name),
             count: chosen.len(),
-            others: others
+            near: near.count(),
+            others: others()
                 .map(|(_, name, address)| PeerNode {
                     name: (*name).to_owned(),
                     address: *address,
--- a/crates/spurpier-pipeline/src/server/pool.rs
+++ b/crates/spurpier-pipeline/src/server/pool.rs
@@ -98,6 +98,12 @@
         })
     }
 
+    /// Whether units wait for connections although as many as allowed are open.
+    pub fn is_crowded(&self) -> bool {
+        let inner = self.lock();
+        inner.idle.is_empty() && inner.total >= inner.limit && inner.waiting > 0
+    }
+
     /// Changes this node's share of the server's connections.
     pub fn set_limit(&self, limit: usize) {
         let surplus = {
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -15,6 +15,7 @@
 
 use std::sync::Arc;
 
+use rand::seq::IteratorRandom;
 use spurpier_core::lead::OwnCommit;
 use spurpier_core::position::Position;
 use spurpier_events::{Event, log_event};
@@ -121,9 +122,33 @@
         effect == Effect::Write || self.is_latest()
     }
 
-    /// The node that is known to reach the lead, if this one does not.
-    pub fn relay(&self) -> Option<PeerNode> {
-        self.group.relay(self.context.clock.now())
+    /// The home that runs such a statement in the place of this one: one that is known to reach
+    /// the lead if this one does not, or one nearby while units wait here for connections.
+    pub fn better_home(&self, effect: Effect) -> Option<PeerNode> {
+        if self.needs_lead(effect)
+            && let Some(relay) = self.group.relay(self.context.clock.now())
+        {
+            return Some(relay);
+        }
+        if !self.is_crowded(effect) {
+            return None;
+        }
+        let homes = self.context.homes_of(&self.group.name);
+        let near = homes.others.iter().take(homes.near);
+        let usable = near.filter(|home| self.context.links.is_usable(home.address));
+        usable.choose(&mut rand::rng()).cloned()
+    }
+
+    /// Whether the server that would run such a statement has no connection free for this node.
+    fn is_crowded(&self, effect: Effect) -> bool {
+        let server = if self.needs_lead(effect) {
+            self.group.lead()
+        } else {
+            let servers = self.group.servers().into_iter();
+            let staying = servers.filter(|server| server.is_staying());
+            staying.min_by_key(|server| server.distance)
+        };
+        server.is_some_and(|server| server.pool.is_crowded())
     }
 
     /// Runs a statement outside a transaction on this node's connections.
