Take lost nodes off the list, and let a living one come back to it

Cause: a machine that is gone for good stayed on the list of nodes, and with it the home of its groups: its share of their connections was lost, and each node found out again and again. Change: a node that nobody could reach for 10 s from here is removed, under the condition that its row is the known one; a node that sees itself missing lists itself again. Ruled out: entries that must be renewed, which would cost a call a node each few seconds.

--- a/crates/spurpier-pipeline/src/forward/links.rs
+++ b/crates/spurpier-pipeline/src/forward/links.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use spurpier_core::time::Timestamp;
+use tokio::sync::mpsc;
 use tokio::time::{timeout, timeout_at};
 
 use super::link::Link;
@@ -14,12 +15,20 @@
 
 /// How often a node that could not be reached is tried again, beside the units' way.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
-/// For how long a node that cannot be reached is tried; then units find out again.
+/// For how long a node that cannot be reached is tried; then it counts as lost.
 const PROBE_LIMIT: Duration = Duration::from_secs(10);
+/// Lost nodes that may wait to be taken off the list.
+const LOST_CAPACITY: usize = 64;
 
 /// The connections to other nodes, by their addresses.
-#[derive(Debug, Default)]
-pub struct Links(Mutex<HashMap<SocketAddr, Arc<Slot>>>);
+#[derive(Debug)]
+pub struct Links {
+    slots: Mutex<HashMap<SocketAddr, Arc<Slot>>>,
+    lost: mpsc::Sender<SocketAddr>,
+}
+
+/// The addresses of nodes that could not be reached for long.
+pub type LostNodes = mpsc::Receiver<SocketAddr>;
 
 /// The connection to one node.
 #[derive(Debug, Default)]
@@ -32,6 +41,13 @@
 }
 
 impl Links {
+    /// No connections yet, and where nodes are told that cannot be reached.
+    pub fn new() -> (Self, LostNodes) {
+        let (lost, receiver) = mpsc::channel(LOST_CAPACITY);
+        let slots = Mutex::default();
+        (Links { slots, lost }, receiver)
+    }
+
     /// Whether a node has not just failed to answer.
     pub fn is_usable(&self, address: SocketAddr) -> bool {
         let Some(slot) = self.lock().get(&address).map(Arc::clone) else {
@@ -56,13 +72,13 @@
         let link = timeout_at(clock.instant(until), connecting).await;
         let link = link.ok().flatten();
         if link.is_none() && !slot.unreachable.swap(true, Ordering::Relaxed) {
-            tokio::spawn(slot.probe(address));
+            tokio::spawn(slot.probe(address, self.lost.clone()));
         }
         link
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<Slot>>> {
-        locked(&self.0)
+        locked(&self.slots)
     }
 }
 
@@ -73,14 +89,16 @@
     }
 
     /// Tries to reach the node, so that no unit has to find out that it is back.
-    async fn probe(self: Arc<Self>, address: SocketAddr) {
+    async fn probe(self: Arc<Self>, address: SocketAddr, lost: mpsc::Sender<SocketAddr>) {
         let probing = async {
             while self.connect(address).await.is_none() {
                 tokio::time::sleep(PROBE_INTERVAL).await;
             }
         };
-        // A node that stays away is tried again when a unit would use it.
-        let _ = timeout(PROBE_LIMIT, probing).await;
+        if timeout(PROBE_LIMIT, probing).await.is_err() {
+            // If it cannot be told now, the next probe tells.
+            let _ = lost.try_send(address);
+        }
         self.unreachable.store(false, Ordering::Relaxed);
     }
 
--- a/crates/spurpier-pipeline/src/forward/mod.rs
+++ b/crates/spurpier-pipeline/src/forward/mod.rs
@@ -16,7 +16,7 @@
 
 pub use caller::run_single;
 pub use link::{Link, Outcome};
-pub use links::Links;
+pub use links::{Links, LostNodes};
 pub use messages::{Call, CalledAnswer, Reply};
 pub use server::serve;
 pub use transaction::PlacedTransaction;
--- a/crates/spurpier-pipeline/src/homes.rs
+++ b/crates/spurpier-pipeline/src/homes.rs
@@ -26,6 +26,15 @@
     pub weight: f64,
 }
 
+/// An entry as the store lists it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListedNode {
+    /// The entry.
+    pub entry: NodeEntry,
+    /// The version of its row.
+    pub version: u64,
+}
+
 impl NodeEntry {
     /// What the node with these settings tells of itself.
     pub fn own(settings: &PipelineSettings) -> Self {
@@ -92,7 +101,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     /// The listed nodes; none before the list was read.
-    nodes: Option<BTreeMap<String, NodeEntry>>,
+    nodes: Option<BTreeMap<String, ListedNode>>,
     /// The homes of groups, by name, for so many connections to each server.
     ranked: HashMap<String, (usize, Arc<ChosenNodes>)>,
     /// The nodes that follow the store.
@@ -135,7 +144,7 @@
     }
 
     /// Changes the listed nodes.
-    pub fn update(&self, change: impl FnOnce(&mut BTreeMap<String, NodeEntry>)) {
+    pub fn update(&self, change: impl FnOnce(&mut BTreeMap<String, ListedNode>)) {
         let mut inner = self.lock();
         change(inner.nodes.get_or_insert_default());
         inner.ranked.clear();
@@ -146,7 +155,15 @@
     pub fn address(&self, name: &str) -> Option<SocketAddr> {
         let inner = self.lock();
         let node = inner.nodes.as_ref()?.get(name)?;
-        Some(node.address)
+        Some(node.entry.address)
+    }
+
+    /// The name of the listed node at an address, and the version of its row.
+    pub fn listed_at(&self, address: SocketAddr) -> Option<(String, u64)> {
+        let inner = self.lock();
+        let mut nodes = inner.nodes.as_ref()?.iter();
+        let (name, node) = nodes.find(|(_, node)| node.entry.address == address)?;
+        Some((name.clone(), node.version))
     }
 
     /// The homes of a group whose servers take so many connections each.
@@ -185,14 +202,14 @@
     /// in so many zones.
     fn choose(
         &self,
-        listed: &BTreeMap<String, NodeEntry>,
+        listed: &BTreeMap<String, ListedNode>,
         subject: &str,
         per_zone: impl FnOnce(usize, usize) -> usize,
     ) -> ChosenNodes {
         // This node counts itself also while its entry is not listed yet.
         let mut nodes: BTreeMap<&str, &NodeEntry> = listed
             .iter()
-            .map(|(name, node)| (name.as_str(), node))
+            .map(|(name, node)| (name.as_str(), &node.entry))
             .collect();
         nodes.insert(&self.own_name, &self.own);
         let zones: BTreeSet<&str> = nodes.values().map(|node| node.zone.as_str()).collect();
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -25,11 +25,11 @@
 use crate::duty::{Peers, watch_groups};
 use crate::events;
 use crate::follow::follow;
-use crate::forward::{self, Links};
+use crate::forward::{self, Links, LostNodes};
 use crate::homes::Homes;
 use crate::known_tables::KnownTables;
 use crate::log_budget::LogBudget;
-use crate::membership::{NodeSink, list_self, unlist_self};
+use crate::membership::{NodeSink, list_self, unlist_lost, unlist_self};
 use crate::ports::{
     ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
 };
@@ -130,10 +130,11 @@
 impl Node {
     /// Runs a node until `stop` is cancelled and its sessions have ended.
     pub async fn run(parts: NodeParts, stop: Stop) {
-        let (context, listeners) = Context::new(parts);
+        let (context, listeners, lost) = Context::new(parts);
         let context = Arc::new(context);
         start_tasks(&context, listeners.ready);
         start_duty(&context, listeners.internal);
+        tokio::spawn(unlist_lost(Arc::clone(&context), lost));
         tokio::spawn(forward::serve(Arc::clone(&context), listeners.forwarded));
         // Nodes that start ask the seeds at their control addresses.
         tokio::spawn(forward::serve(Arc::clone(&context), listeners.control));
@@ -167,8 +168,9 @@
 }
 
 impl Context {
-    fn new(parts: NodeParts) -> (Self, Listeners) {
+    fn new(parts: NodeParts) -> (Self, Listeners, LostNodes) {
         let clock = Clock::new();
+        let (links, lost) = Links::new();
         let context = Context {
             retry_budget: Mutex::new(RetryBudget::new(RETRY_BUDGET, clock.now())),
             homes: Homes::new(&parts.settings),
@@ -181,7 +183,7 @@
             promotions: parts.promotions,
             configuration: watch::Sender::new(None),
             groups: Mutex::default(),
-            links: Links::default(),
+            links,
             store_lost: AtomicBool::new(false),
             directory_known: watch::Sender::new(false),
             known_tables: KnownTables::new(rand::rng().random()),
@@ -190,7 +192,7 @@
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
         };
-        (context, parts.listeners)
+        (context, parts.listeners, lost)
     }
 }
 
@@ -202,7 +204,7 @@
     tokio::spawn(follow(shared(), Table::Configuration, configuration));
     let servers = ServerSink::new(shared());
     tokio::spawn(follow(shared(), Table::Servers, servers));
-    tokio::spawn(follow(shared(), Table::Nodes, NodeSink(shared())));
+    tokio::spawn(follow(shared(), Table::Nodes, NodeSink::new(shared())));
     tokio::spawn(forget_gone(shared()));
     tokio::spawn(share_after_start(shared()));
     tokio::spawn(close_unused(shared()));
