Explain one request out of the nodes' logs: spurpier explain

Cause: since units are forwarded, a request's lines stand in two nodes' logs, and what led to a refusal (a silent server, a lost lead) in lines that do not name it; a search for the id showed neither.

--- a/crates/spurpier/src/cli/arguments.rs
+++ b/crates/spurpier/src/cli/arguments.rs
@@ -18,6 +18,17 @@
     Policy(PolicyCommand),
     /// Print a node's status.
     Status(StatusArguments),
+    /// Print the story of one request, out of the nodes' logs.
+    Explain(ExplainArguments),
+}
+
+/// The arguments of `spurpier explain`.
+#[derive(Debug, Clone)]
+pub struct ExplainArguments {
+    /// The nodes' logs.
+    pub logs: Vec<PathBuf>,
+    /// The request's id.
+    pub request: String,
 }
 
 /// The arguments of `spurpier proxy`.
@@ -108,7 +119,8 @@
     let settings = settings_command();
     let status = status_command();
     let policy = policy_command();
-    construct!([proxy, gateway, settings, policy, status])
+    let explain = explain_command();
+    construct!([proxy, gateway, settings, policy, status, explain])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("A database proxy with session consistency for moves between data centres")
@@ -158,6 +170,18 @@
     command("gateway", description, arguments.map(Command::Gateway))
 }
 
+fn explain_command() -> impl Parser<Command> {
+    let logs = long("log")
+        .help("A node's log; may be given for several nodes")
+        .argument::<PathBuf>("FILE")
+        .some("at least one --log FILE");
+    let request =
+        positional::<String>("REQUEST-ID").help("The request's id, as the client sent it");
+    let arguments = construct!(ExplainArguments { logs, request });
+    let description = "Print what nodes decided on one request, and what led to it";
+    command("explain", description, arguments.map(Command::Explain))
+}
+
 fn settings_command() -> impl Parser<Command> {
     let file = positional::<PathBuf>("FILE").help("The settings file");
     let check = command(
--- a/crates/spurpier/src/cli/mod.rs
+++ b/crates/spurpier/src/cli/mod.rs
@@ -3,6 +3,7 @@
 //! Every command ends with one of three exit codes: 0 done, 1 failed, 2 bad usage.
 
 mod arguments;
+mod explain;
 mod gateway;
 mod policy;
 mod proxy;
@@ -16,8 +17,8 @@
 use bpaf::{Args, ParseFailure};
 
 pub use arguments::{
-    Command, GatewayArguments, PlatformSource, PolicyCommand, ProxyArguments, SettingsCommand,
-    StatusArguments, command_line,
+    Command, ExplainArguments, GatewayArguments, PlatformSource, PolicyCommand, ProxyArguments,
+    SettingsCommand, StatusArguments, command_line,
 };
 
 /// The command did what was asked.
@@ -42,6 +43,7 @@
         Command::Settings(command) => settings::run(&command),
         Command::Policy(command) => policy::run(&command),
         Command::Status(arguments) => status::run(&arguments),
+        Command::Explain(arguments) => explain::run(&arguments),
     };
     ExitCode::from(code)
 }
--- a/crates/spurpier/src/lib.rs
+++ b/crates/spurpier/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 pub mod cluster;
 pub mod events;
+pub mod explain;
 pub mod home;
 pub mod ingress;
 pub mod logging;
--- a/crates/spurpier/tests/command_line.rs
+++ b/crates/spurpier/tests/command_line.rs
@@ -20,6 +20,7 @@
     &["policy", "show"],
     &["policy", "history"],
     &["status"],
+    &["explain"],
 ];
 
 fn spurpier(arguments: &[&str]) -> Output {
@@ -232,3 +233,62 @@
         assert!(!output.stderr.is_empty(), "{command:?}");
     }
 }
+
+/// A line of a log as a node writes it, behind the node's name.
+fn log_line(node: &str, second: u32, message: &str, values: &str) -> String {
+    format!(
+        "  {second}.5 {node} {{\"timestamp\":\"2026-06-28T16:53:{second:02}.500+00:00\",\
+         \"level\":\"INFO\",\"target\":\"spurpier\",\"message\":\"{message}\",\"kvs\":{{{values}}}}}\n"
+    )
+}
+
+#[test]
+fn explain_prints_what_concerns_one_request_in_the_order_of_time() {
+    let refused =
+        r#""event":6030,"name":"request_not_run","request":"q1","group":"g1","reason":"no_lead""#;
+    let retried =
+        r#""event":6032,"name":"request_retried","request":"q1","group":"g1","server":"i-1""#;
+    let other =
+        r#""event":6030,"name":"request_not_run","request":"q2","group":"g1","reason":"no_lead""#;
+    let home = [
+        log_line("n2", 14, "refused", refused),
+        "no line of a log\n".to_owned(),
+        log_line(
+            "n2",
+            12,
+            "silent",
+            r#""event":6024,"name":"server_silent","server":"i-1""#,
+        ),
+        log_line("n2", 13, "another", other),
+        log_line(
+            "n2",
+            13,
+            "elsewhere",
+            r#""event":6023,"name":"lead_lost","group":"g2","server":"i-9""#,
+        ),
+        log_line(
+            "n2",
+            1,
+            "long ago",
+            r#""event":6022,"name":"lead_found","group":"g1","server":"i-1""#,
+        ),
+    ];
+    let caller = [log_line("n1", 13, "again", retried)];
+    let home = file("explain-home.log", &home.concat());
+    let caller = file("explain-caller.log", &caller.concat());
+    let (home, caller) = (home.to_str().expect("text"), caller.to_str().expect("text"));
+    let output = spurpier(&["explain", "--log", home, "--log", caller, "q1"]);
+    assert_eq!(code(&output), 0, "{}", text(&output.stderr));
+    let story = text(&output.stdout);
+    let expected = "    -1.000 s n2 server_silent: silent server=i-1\n\
+                    *   +0.000 s n1 request_retried: again group=g1 server=i-1\n\
+                    *   +1.000 s n2 request_not_run: refused group=g1 reason=no_lead\n";
+    assert_eq!(story, expected);
+    let unknown = spurpier(&["explain", "--log", home, "q9"]);
+    assert_eq!(code(&unknown), 1);
+    assert!(text(&unknown.stderr).contains("no line names the request q9"));
+    let missing = spurpier(&["explain", "--log", "no-such-file", "q1"]);
+    assert_eq!(code(&missing), 1);
+    let unnamed = spurpier(&["explain", "q1"]);
+    assert_eq!(code(&unnamed), 2);
+}
