Count what a gateway does, and give it at /metrics of the readiness address

Cause: a gateway had logs alone; lines of single requests are bounded, so that rates and times could not be had from them. Change: counters by outcome, reason, retry, call and store call, a histogram of answer times, gauges set when they are read (prometheus-client, as the other node has it).

--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -18,6 +18,7 @@
 use crate::homes::{ChosenNodes, Homes};
 use crate::known_tables::KnownTables;
 use crate::log_budget::LogBudget;
+use crate::metrics::Metrics;
 use crate::ports::{ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect};
 use crate::settings::PipelineSettings;
 
@@ -64,6 +65,8 @@
     pub retry_budget: Mutex<RetryBudget>,
     /// The store's tables as last seen.
     pub known_tables: KnownTables,
+    /// What is counted and told at the metrics endpoint.
+    pub metrics: Metrics,
     /// Bounds the log lines of single requests.
     pub log_budget: LogBudget,
     /// Work of other nodes that runs here.
--- a/crates/spurpier-pipeline/src/follow/mod.rs
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -214,6 +214,7 @@
     }
 
     fn note_answer(&mut self) {
+        self.context.metrics.count_store_call(true);
         self.context.note_store_answer();
         self.backoff.reset();
         if std::mem::take(&mut self.lost) {
@@ -222,6 +223,7 @@
     }
 
     async fn note_failure(&mut self, error: StoreError) {
+        self.context.metrics.count_store_call(false);
         self.context.note_store_failure();
         self.store_again_at = self.context.clock.now() + STORE_AGAIN;
         if !std::mem::replace(&mut self.lost, true) {
--- a/crates/spurpier-pipeline/src/forward/caller.rs
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -132,6 +132,7 @@
     call: Call,
     may_repeat: bool,
 ) -> UnitOutcome {
+    unit.context.metrics.count_call_made();
     let end = unit.times.give_up + REPLY_SLACK;
     let end = unit.context.clock.instant(end);
     match link.call_until(call, end, may_repeat).await {
--- a/crates/spurpier-pipeline/src/forward/server.rs
+++ b/crates/spurpier-pipeline/src/forward/server.rs
@@ -305,6 +305,7 @@
     /// The unit of a call; none if this node takes no more, or does not know the group.
     fn unit(&self, head: CallHead) -> Option<Unit> {
         let context = &self.context;
+        context.metrics.count_call_taken();
         if context.closing.is_cancelled() {
             return None;
         }
--- a/crates/spurpier-pipeline/src/lib.rs
+++ b/crates/spurpier-pipeline/src/lib.rs
@@ -19,6 +19,7 @@
 mod known_tables;
 pub mod log_budget;
 mod membership;
+mod metrics;
 mod node;
 pub mod ports;
 mod readiness;
--- /dev/null
+++ b/crates/spurpier-pipeline/src/metrics.rs
@@ -0,0 +1,228 @@
+//! A gateway's metrics, in the text form of Prometheus, at `/metrics` of the readiness address.
+//!
+//! Counters are kept as things happen; gauges are set from the present state when they are read.
+
+use std::fmt;
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use crate::context::Context;
+use crate::ports::{Answer, ErrorClass};
+use crate::server::Server;
+
+/// The first bound of the histogram of answer times, in seconds.
+const FIRST_BUCKET: f64 = 0.001;
+/// How many bounds it has, each twice the one before: up to 4 s.
+const BUCKETS: u16 = 13;
+
+/// One label: what a counter counts.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Kind {
+    kind: &'static str,
+}
+
+/// What a gauge of a server's connections tells.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ConnectionLabels {
+    group: String,
+    server: String,
+    state: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct GroupLabels {
+    group: String,
+}
+
+/// How a statement ended for its client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ended {
+    Done,
+    NotRun,
+    Unknown,
+    Failed,
+}
+
+impl Ended {
+    fn of(answer: &Answer) -> Self {
+        match answer.error_class() {
+            None => Ended::Done,
+            Some(class) if class.is_not_run() => Ended::NotRun,
+            Some(ErrorClass::Failed) => Ended::Failed,
+            Some(_) => Ended::Unknown,
+        }
+    }
+
+    const fn text(self) -> &'static str {
+        match self {
+            Ended::Done => "done",
+            Ended::NotRun => "not_run",
+            Ended::Unknown => "unknown",
+            Ended::Failed => "failed",
+        }
+    }
+}
+
+/// The metrics of one node.
+pub struct Metrics {
+    registry: Registry,
+    statements: Family<Kind, Counter>,
+    answer_times: Histogram,
+    refusals: Family<Kind, Counter>,
+    retries: Family<Kind, Counter>,
+    calls: Family<Kind, Counter>,
+    store_calls: Family<Kind, Counter>,
+    connections: Family<ConnectionLabels, Gauge>,
+    proof_ages: Family<GroupLabels, Gauge>,
+    homes: Family<GroupLabels, Gauge>,
+    configuration: Gauge,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("spurpier_gateway"),
+            statements: Family::default(),
+            answer_times: Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS)),
+            refusals: Family::default(),
+            retries: Family::default(),
+            calls: Family::default(),
+            store_calls: Family::default(),
+            connections: Family::default(),
+            proof_ages: Family::default(),
+            homes: Family::default(),
+            configuration: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        let text = "Statements of clients, by how they ended";
+        registry.register("statements", text, self.statements.clone());
+        let text = "How long clients' statements took, in seconds";
+        registry.register("statement_seconds", text, self.answer_times.clone());
+        let text = "Statements that were refused here, by reason";
+        registry.register("refusals", text, self.refusals.clone());
+        let text = "Attempts beyond the first, by what went before";
+        registry.register("retries", text, self.retries.clone());
+        let text = "Calls of units, made to other nodes and taken from them";
+        registry.register("calls", text, self.calls.clone());
+        let text = "Calls to the store for what it lists, by how they ended";
+        registry.register("store_calls", text, self.store_calls.clone());
+        let text = "Connections to a server, by state";
+        registry.register("connections", text, self.connections.clone());
+        let text = "Age of the newest proof of lead, in milliseconds; -1 without one";
+        registry.register("proof_age_ms", text, self.proof_ages.clone());
+        let text = "Homes of a group, this node among them if it is one";
+        registry.register("homes", text, self.homes.clone());
+        let text = "Version of the configuration in force; 0 before the first";
+        registry.register("configuration_version", text, self.configuration.clone());
+    }
+
+    /// Counts a client's statement.
+    pub fn count_statement(&self, answer: &Answer, taken: Duration) {
+        let kind = Ended::of(answer).text();
+        self.statements.get_or_create(&Kind { kind }).inc();
+        self.answer_times.observe(taken.as_secs_f64());
+    }
+
+    /// Counts a refusal.
+    pub fn count_refusal(&self, reason: &'static str) {
+        self.refusals.get_or_create(&Kind { kind: reason }).inc();
+    }
+
+    /// Counts an attempt beyond the first.
+    pub fn count_retry(&self, why: &'static str) {
+        self.retries.get_or_create(&Kind { kind: why }).inc();
+    }
+
+    /// Counts a unit's call that is made to another node.
+    pub fn count_call_made(&self) {
+        self.calls.get_or_create(&Kind { kind: "made" }).inc();
+    }
+
+    /// Counts a unit's call that is taken from another node.
+    pub fn count_call_taken(&self) {
+        self.calls.get_or_create(&Kind { kind: "taken" }).inc();
+    }
+
+    /// Counts a call to the store.
+    pub fn count_store_call(&self, answered: bool) {
+        let kind = if answered { "answered" } else { "failed" };
+        self.store_calls.get_or_create(&Kind { kind }).inc();
+    }
+
+    /// All metrics as text, with the gauges as they are now.
+    pub fn text(&self, context: &Context) -> String {
+        self.set_gauges(context);
+        let mut text = String::new();
+        // Writing to a text does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    fn set_gauges(&self, context: &Context) {
+        let version = context
+            .in_force()
+            .map_or(0, |known| known.configuration.version);
+        self.configuration
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+        // Servers and groups that are gone are not told any more.
+        self.connections.clear();
+        self.proof_ages.clear();
+        self.homes.clear();
+        let now = context.clock.now();
+        for group in context.all_groups() {
+            let labels = GroupLabels {
+                group: group.name.clone(),
+            };
+            let age = group.proven_at().map(|proven| now.since(proven));
+            let age = age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+            self.proof_ages.get_or_create(&labels).set(age);
+            let homes = context.homes_of(&group.name).count;
+            self.homes.get_or_create(&labels).set(as_gauge(homes));
+            for server in group.servers() {
+                self.set_connections(&group.name, &server);
+            }
+        }
+    }
+
+    fn set_connections(&self, group: &str, server: &Server) {
+        let counts = server.pool.counts();
+        let states = [
+            ("open", counts.open),
+            ("idle", counts.idle),
+            ("waiting", counts.waiting),
+            ("limit", counts.limit),
+        ];
+        for (state, count) in states {
+            let labels = ConnectionLabels {
+                group: group.to_owned(),
+                server: server.instance.clone(),
+                state,
+            };
+            self.connections.get_or_create(&labels).set(as_gauge(count));
+        }
+    }
+}
+
+fn as_gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -30,6 +30,7 @@
 use crate::known_tables::KnownTables;
 use crate::log_budget::LogBudget;
 use crate::membership::{NodeSink, list_self, unlist_lost, unlist_self};
+use crate::metrics::Metrics;
 use crate::ports::{
     ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
 };
@@ -187,6 +188,7 @@
             store_lost: AtomicBool::new(false),
             directory_known: watch::Sender::new(false),
             known_tables: KnownTables::new(rand::rng().random()),
+            metrics: Metrics::default(),
             log_budget: LogBudget::default(),
             forwarded: TaskTracker::new(),
             draining: CancellationToken::new(),
--- a/crates/spurpier-pipeline/src/readiness.rs
+++ b/crates/spurpier-pipeline/src/readiness.rs
@@ -1,9 +1,12 @@
-//! The readiness endpoint: tells a load balancer whether this node takes new clients.
+//! The readiness endpoint: tells a load balancer whether this node takes new clients, and gives the
+//! node's metrics.
 
 use std::sync::Arc;
 
 use axum::Router;
 use axum::http::StatusCode;
+use axum::http::header::CONTENT_TYPE;
+use axum::routing::get;
 use tokio::net::TcpListener;
 
 use crate::context::Context;
@@ -15,8 +18,15 @@
     }
 }
 
-/// Answers every path with 200 or 503, for as long as the node runs.
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+/// The form of the metrics' text.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Answers `/metrics` with the metrics and every other path with 200 or 503, for as long as the
+/// node runs.
 pub async fn serve(context: Arc<Context>, listener: TcpListener) {
+    let counted = Arc::clone(&context);
     let answer = move || {
         let context = Arc::clone(&context);
         async move {
@@ -27,7 +37,16 @@
             }
         }
     };
-    let router = Router::new().fallback(answer);
+    let metrics = move || {
+        let context = Arc::clone(&counted);
+        async move {
+            let text = context.metrics.text(&context);
+            ([(CONTENT_TYPE, METRICS_TYPE)], text)
+        }
+    };
+    let router = Router::new()
+        .route(METRICS_PATH, get(metrics))
+        .fallback(answer);
     // An endpoint that fails is seen by the load balancer, which asks in vain.
     let _ = axum::serve(listener, router).await;
 }
--- a/crates/spurpier-pipeline/src/server/pool.rs
+++ b/crates/spurpier-pipeline/src/server/pool.rs
@@ -39,6 +39,19 @@
     pub instance: String,
 }
 
+/// How many connections a pool has, and how many units wait for one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolCounts {
+    /// Open or being opened.
+    pub open: usize,
+    /// Open and unused.
+    pub idle: usize,
+    /// Units that wait.
+    pub waiting: usize,
+    /// The most that may be open.
+    pub limit: usize,
+}
+
 /// A connection that nobody uses.
 #[derive(Debug)]
 struct Idle {
@@ -104,6 +117,17 @@
         inner.idle.is_empty() && inner.total >= inner.limit && inner.waiting > 0
     }
 
+    /// How many connections there are, and how many units wait for one.
+    pub fn counts(&self) -> PoolCounts {
+        let inner = self.lock();
+        PoolCounts {
+            open: inner.total,
+            idle: inner.idle.len(),
+            waiting: inner.waiting,
+            limit: inner.limit,
+        }
+    }
+
     /// Changes this node's share of the server's connections.
     pub fn set_limit(&self, limit: usize) {
         let surplus = {
--- a/crates/spurpier-pipeline/src/session/statements.rs
+++ b/crates/spurpier-pipeline/src/session/statements.rs
@@ -14,6 +14,7 @@
 impl SessionState {
     /// Runs a statement and gives its answer.
     pub async fn run(&mut self, request: Request) -> Answer {
+        let started = Instant::now();
         let state = self.transaction_state();
         let answer = if state == TransactionState::Failed {
             self.run_in_failed(request).await
@@ -21,6 +22,8 @@
             self.run_statement(request, state).await
         };
         self.rests_since = Instant::now();
+        let taken = self.rests_since - started;
+        self.context.metrics.count_statement(&answer, taken);
         answer
     }
 
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -161,6 +161,7 @@
 
     /// The answer of a statement that has not run.
     pub fn refuse(&self, id: &str, reason: NotRun) -> Answer {
+        self.context.metrics.count_refusal(reason.text());
         let retry_after_ms = reason.retry_after_ms();
         if let Some(suppressed) = self.log_budget(events::REQUEST_NOT_RUN) {
             log_event!(
@@ -211,7 +212,8 @@
     }
 
     /// Notes that a statement is tried again.
-    pub fn note_retry(&self, id: &str, server: &str, why: &str) {
+    pub fn note_retry(&self, id: &str, server: &str, why: &'static str) {
+        self.context.metrics.count_retry(why);
         if let Some(suppressed) = self.log_budget(events::REQUEST_RETRIED) {
             log_event!(
                 events::REQUEST_RETRIED,
