Tell news by a lower bound of their age, so that two nodes do not keep each other young

Two watchers of one zone that the store refuses follow each other. Each took the age of what it was told from the arrival of the answer, and the age is told in whole milliseconds, cut off: a question and its answer take less than a millisecond in a zone, so that each exchange gave back what had passed since the last one. Ruled out: a longer chain of followers, and the node itself being refused (its log has no lost call). Change: the age is rounded up, and counts from the question plus the time for which the other node held it, never from the answer's arrival.

--- a/crates/spurpier-pipeline/src/follow/peer.rs
+++ b/crates/spurpier-pipeline/src/follow/peer.rs
@@ -37,11 +37,12 @@
             Some(_) => NEWS_WAIT.min(fresh_for),
             None => Duration::ZERO,
         };
+        let asked_at = clock.now();
         let Some(news) = self.call(&link, cursor, wait, wait + NEWS_SLACK).await else {
             return false;
         };
-        let age = Duration::from_millis(u64::from(news.age_ms));
-        let told_at = self.context.clock.now().before(age);
+        let told_at = news.told_at(asked_at);
+        let age = self.context.clock.now().since(told_at);
         self.take_news(&peer.name, news, told_at) && age < STALE
     }
 
@@ -85,6 +86,7 @@
         let Some(link) = Link::connect(seed).await else {
             return false;
         };
+        let asked_at = self.context.clock.now();
         let news = self.call(&link, None, Duration::ZERO, SEED_LIMIT).await;
         link.close();
         let Some(news) = news else {
@@ -95,8 +97,7 @@
             table = format!("{:?}", self.table),
             rows = news.rows.0.len()
         );
-        let age = Duration::from_millis(u64::from(news.age_ms));
-        let told_at = self.context.clock.now().before(age);
+        let told_at = news.told_at(asked_at);
         self.take_news(&seed.to_string(), news, told_at)
     }
 }
--- a/crates/spurpier-pipeline/src/forward/messages.rs
+++ b/crates/spurpier-pipeline/src/forward/messages.rs
@@ -19,7 +19,7 @@
 use crate::unit::{PreparedUse, Work};
 
 /// The version of the messages; nodes of different versions do not forward to each other.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 
 /// A message between a caller and the node that runs its calls.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
--- a/crates/spurpier-pipeline/src/forward/server.rs
+++ b/crates/spurpier-pipeline/src/forward/server.rs
@@ -208,6 +208,7 @@
     /// Waits until there is something new of a table, and tells it; at the end of the wait only
     /// how old what is known has become.
     async fn tell_news(&self, table: u8, cursor: Option<Cursor>, wait: Duration) -> Reply {
+        let called_at = self.context.clock.now();
         let known = &self.context.known_tables;
         let mut changes = known.changes();
         let news = async {
@@ -222,7 +223,7 @@
             // Those that follow this node are to follow another one.
             () = self.context.draining.cancelled() => return Reply::NotTaken,
         }
-        let news = known.news(table, cursor, self.context.clock.now());
+        let news = known.news(table, cursor, called_at, self.context.clock.now());
         news.map_or(Reply::NotTaken, Reply::News)
     }
 
--- a/crates/spurpier-pipeline/src/known_tables.rs
+++ b/crates/spurpier-pipeline/src/known_tables.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use nanoserde::{DeBin, DeBinErr, SerBin};
@@ -45,12 +46,31 @@
     pub whole: bool,
     /// The store's version of it.
     pub version: u64,
-    /// How long ago the store last told of the table, in milliseconds.
+    /// How long ago the store last told of the table when this was told, in milliseconds.
     pub age_ms: u32,
+    /// How long the call was held before this was told, in milliseconds.
+    pub held_ms: u32,
     /// The rows, in the order of their changes.
     pub rows: List<ToldRow>,
 }
 
+impl News {
+    /// When the store last told of the table, on the clock of a node that asked at `asked_at`.
+    ///
+    /// The other node held the call for `held_ms` before it told the age, so that it told it no
+    /// earlier than `held_ms` after the question. Counting from the arrival of the answer would add
+    /// its time on the way, and two nodes that follow each other would keep each other young.
+    pub fn told_at(&self, asked_at: Timestamp) -> Timestamp {
+        let held = Duration::from_millis(u64::from(self.held_ms));
+        let age = Duration::from_millis(u64::from(self.age_ms));
+        (asked_at + held).before(age)
+    }
+}
+
+fn whole_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// A row as a message carries it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ToldRow(pub Row);
@@ -186,8 +206,15 @@
         known.told_at.is_some() && cursor != Some(at)
     }
 
-    /// What is to be told of a table behind a point; none if nothing is known of it.
-    pub fn news(&self, number: u8, cursor: Option<Cursor>, now: Timestamp) -> Option<News> {
+    /// What is to be told now of a table behind a point, to a call that came at `called_at`; none
+    /// if nothing is known of the table.
+    pub fn news(
+        &self,
+        number: u8,
+        cursor: Option<Cursor>,
+        called_at: Timestamp,
+        now: Timestamp,
+    ) -> Option<News> {
         let tables = self.lock();
         let known = tables.get(usize::from(number))?;
         let age = now.since(known.told_at?);
@@ -202,7 +229,9 @@
             },
             whole,
             version: known.version,
-            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            // Rounded so that what is told is never taken for younger than it is.
+            age_ms: whole_millis(age).saturating_add(1),
+            held_ms: whole_millis(now.since(called_at)),
             rows: List(changes.unwrap_or_else(all)),
         })
     }
