--- a/crates/spurpier-core/src/lead/failover.rs
+++ b/crates/spurpier-core/src/lead/failover.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::lease::LONGEST_LEASE;
 use crate::position::Position;
 
 /// A proof of lead younger than this says that the primary serves. A node that is asked has the
@@ -33,6 +34,9 @@
     pub asked: usize,
     /// Whether any server is listed as primary.
     pub listed: bool,
+    /// Whether this node reaches so many of the voters, itself counted, that the others cannot
+    /// renew their leases without them.
+    pub blocks_renewal: bool,
 }
 
 /// What is to be done about a primary that does not answer.
@@ -47,11 +51,16 @@
 /// Judges a missing primary: one node's silence is no proof of a server's end.
 ///
 /// More nodes must miss the primary than see it. A node that hears from none of the others may
-/// be cut off itself; it waits until the directory has dropped the primary as well.
+/// be cut off itself; it waits until the directory has dropped the primary as well. A node that
+/// does not reach enough voters waits longer: while the store is away from the others, these may go
+/// on with the primary for [`LONGEST_LEASE`].
 pub fn judge(missing: &Missing, patience: Duration) -> Verdict {
     if missing.missing_for < patience {
         return Verdict::Keep;
     }
+    if !missing.blocks_renewal && missing.missing_for < LONGEST_LEASE {
+        return Verdict::Keep;
+    }
     if missing.peers.is_empty() && missing.asked > 0 {
         return if missing.listed {
             Verdict::Keep
--- /dev/null
+++ b/crates/spurpier-core/tests/lease_model/mod.rs
@@ -0,0 +1,340 @@
+//! Nodes that use a lead, decide and order, over a store and links that fail.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use spurpier_core::lead::{LeaseEvidence, RoundState, YieldRound, majority};
+use spurpier_core::time::Timestamp;
+
+/// How many nodes there are; all are voters.
+const NODES: usize = 3;
+/// How long an order that is under way may take to be carried out.
+const LONGEST_ORDER: u64 = 1_500;
+
+/// A mechanism that is taken out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Breakage {
+    None,
+    /// Answers are believed without a lease.
+    NoLease,
+    /// The successor is ordered without waiting for anybody.
+    NoWait,
+    /// A decision is ordered without a look whether there is a newer one.
+    NoVerification,
+    /// A voter renews leases although it may have forgotten what it yielded to.
+    ForgetfulVoters,
+    /// A voter renews the lease of a node that lacks a succession.
+    BlindVoters,
+    /// A node yields while its own order is under way.
+    YieldsWhileOrdering,
+    /// The moment of what the store told is taken from when it was read.
+    YoungNews,
+}
+
+impl Breakage {
+    /// Those that random steps find.
+    pub const COMMON: [Breakage; 5] = [
+        Breakage::NoLease,
+        Breakage::NoWait,
+        Breakage::NoVerification,
+        Breakage::YieldsWhileOrdering,
+        Breakage::YoungNews,
+    ];
+}
+
+/// What happens next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Time passes.
+    Pass(u64),
+    /// The nodes of a set and the others no longer reach each other; an empty set heals it.
+    Cut(u8),
+    /// Which nodes reach the store.
+    StoreReachedBy(u8),
+    /// The store answers a node, which reads the answer later.
+    StoreTells(usize),
+    /// The node reads what the store has answered.
+    ReadStore(usize),
+    /// A node asks the voters, and takes in their answers later.
+    AskVoters(usize),
+    /// The node takes in the voters' answers.
+    ReadVoters(usize),
+    /// A node decides.
+    Decide(usize),
+    /// A node asks all that it awaits to yield.
+    AskYields(usize),
+    /// A node does what its round says.
+    Proceed(usize),
+    /// An order that is under way is carried out and answered.
+    CarryOut(usize),
+    /// A node starts again, and takes what another one knows if it reaches that one.
+    Restart(usize, usize),
+}
+
+pub fn steps() -> impl Strategy<Value = Step> {
+    let node = || 0..NODES;
+    prop_oneof![
+        6 => prop_oneof![5_u64..60, 60_u64..900, 900_u64..5_000].prop_map(Step::Pass),
+        1 => any::<u8>().prop_map(Step::Cut),
+        1 => any::<u8>().prop_map(Step::StoreReachedBy),
+        4 => node().prop_map(Step::StoreTells),
+        4 => node().prop_map(Step::ReadStore),
+        3 => node().prop_map(Step::AskVoters),
+        3 => node().prop_map(Step::ReadVoters),
+        2 => node().prop_map(Step::Decide),
+        4 => node().prop_map(Step::AskYields),
+        4 => node().prop_map(Step::Proceed),
+        3 => node().prop_map(Step::CarryOut),
+        2 => (node(), node()).prop_map(|(node, from)| Step::Restart(node, from)),
+    ]
+}
+
+#[derive(Debug, Clone, Default)]
+struct Node {
+    started_at: Timestamp,
+    /// The newest succession that it knows; its token stands for the server that it names.
+    token: u64,
+    told_at: Option<Timestamp>,
+    confirmed_at: Option<Timestamp>,
+    /// What the store has answered: at which moment, and the newest token then.
+    unread: Option<(Timestamp, u64)>,
+    /// What voters have answered: when they were asked, and whether they make a majority.
+    answers: Option<(Timestamp, bool)>,
+    round: Option<YieldRound>,
+    /// An order that is under way: its token, and when it left.
+    ordered: Option<(u64, Timestamp)>,
+}
+
+impl Node {
+    fn evidence(&self) -> LeaseEvidence {
+        LeaseEvidence {
+            told_at: self.told_at,
+            confirmed_at: self.confirmed_at,
+        }
+    }
+}
+
+pub struct World {
+    breakage: Breakage,
+    now: Timestamp,
+    nodes: Vec<Node>,
+    cut: u8,
+    store_reached_by: u8,
+    /// The newest token in the store.
+    stored: u64,
+    /// The token by whose order the present lead was promoted.
+    effective: u64,
+    violation: Option<String>,
+}
+
+fn name(node: usize) -> String {
+    format!("n{node}")
+}
+
+impl World {
+    pub fn new(breakage: Breakage) -> Self {
+        let now = Timestamp::from_millis(1_000_000);
+        let node = Node {
+            started_at: now,
+            told_at: Some(now),
+            ..Node::default()
+        };
+        World {
+            breakage,
+            now,
+            nodes: vec![node; NODES],
+            cut: 0,
+            store_reached_by: u8::MAX,
+            stored: 0,
+            effective: 0,
+            violation: None,
+        }
+    }
+
+    pub fn violation(&self) -> Option<&str> {
+        self.violation.as_deref()
+    }
+
+    /// Whether an order has been carried out.
+    pub fn is_ordered(&self) -> bool {
+        self.effective > 0
+    }
+
+    pub fn apply(&mut self, step: &Step) {
+        match *step {
+            Step::Pass(millis) => self.pass(millis),
+            Step::Cut(set) => self.cut = set,
+            Step::StoreReachedBy(set) => self.store_reached_by = set,
+            Step::StoreTells(node) if self.reaches_store(node) => {
+                self.nodes[node].unread = Some((self.now, self.stored));
+            }
+            Step::ReadStore(node) => self.read_store(node),
+            Step::AskVoters(node) => self.ask_voters(node),
+            Step::ReadVoters(node) => self.read_voters(node),
+            Step::Decide(node) if self.reaches_store(node) => self.decide(node),
+            Step::AskYields(node) => self.ask_yields(node),
+            Step::Proceed(node) => self.proceed(node),
+            Step::CarryOut(node) => self.carry_out(node),
+            Step::Restart(node, from) => self.restart(node, from),
+            Step::StoreTells(_) | Step::Decide(_) => {}
+        }
+        self.check();
+    }
+
+    /// Orders do not stay under way for ever, so time does not pass beyond the longest.
+    fn pass(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+        for node in 0..NODES {
+            let ordered = self.nodes[node].ordered;
+            let limit = Duration::from_millis(LONGEST_ORDER);
+            if ordered.is_some_and(|(_, sent_at)| self.now.since(sent_at) >= limit) {
+                self.carry_out(node);
+            }
+        }
+    }
+
+    fn reaches(&self, one: usize, other: usize) -> bool {
+        (self.cut >> one) & 1 == (self.cut >> other) & 1
+    }
+
+    fn reaches_store(&self, node: usize) -> bool {
+        (self.store_reached_by >> node) & 1 == 1
+    }
+
+    fn read_store(&mut self, node: usize) {
+        let Some((told_at, token)) = self.nodes[node].unread.take() else {
+            return;
+        };
+        let told_at = if self.breakage == Breakage::YoungNews {
+            self.now
+        } else {
+            told_at
+        };
+        let node = &mut self.nodes[node];
+        node.told_at = node.told_at.max(Some(told_at));
+        node.token = node.token.max(token);
+    }
+
+    fn standing(&self, node: usize) -> Option<u64> {
+        let voter = &self.nodes[node];
+        let is_sure = voter
+            .told_at
+            .is_some_and(|told_at| told_at > voter.started_at);
+        (is_sure || self.breakage == Breakage::ForgetfulVoters).then_some(voter.token)
+    }
+
+    fn ask_voters(&mut self, node: usize) {
+        let own = self.nodes[node].token;
+        let renewing = (0..NODES)
+            .filter(|other| self.reaches(node, *other))
+            .filter_map(|other| self.standing(other))
+            .filter(|token| *token <= own || self.breakage == Breakage::BlindVoters)
+            .count();
+        self.nodes[node].answers = Some((self.now, renewing >= majority(NODES)));
+    }
+
+    fn read_voters(&mut self, node: usize) {
+        let node = &mut self.nodes[node];
+        if let Some((asked_at, true)) = node.answers.take() {
+            node.confirmed_at = node.confirmed_at.max(Some(asked_at));
+        }
+    }
+
+    /// The decision is stored under the condition that it is the next one, and acknowledged at once.
+    fn decide(&mut self, node: usize) {
+        if self.nodes[node].ordered.is_some() {
+            return;
+        }
+        self.stored += 1;
+        let token = self.stored;
+        let all = (0..NODES).map(name);
+        let round = YieldRound::new(token, self.now, self.now, &name(node), all.clone(), all);
+        self.nodes[node].token = token;
+        self.nodes[node].round = Some(round);
+    }
+
+    fn ask_yields(&mut self, node: usize) {
+        let Some(mut round) = self.nodes[node].round.take() else {
+            return;
+        };
+        for other in (0..NODES).filter(|other| *other != node) {
+            if !self.reaches(node, other) {
+                continue;
+            }
+            let keeps = self.breakage != Breakage::YieldsWhileOrdering;
+            if keeps && self.nodes[other].ordered.is_some() {
+                continue;
+            }
+            let yielding = &mut self.nodes[other];
+            yielding.token = yielding.token.max(round.token());
+            round.note_yielded(&name(other), yielding.token, self.now);
+        }
+        self.nodes[node].round = Some(round);
+    }
+
+    fn proceed(&mut self, node: usize) {
+        let Some(mut round) = self.nodes[node].round.take() else {
+            return;
+        };
+        let mut newest = self.nodes[node].token;
+        if self.breakage == Breakage::NoWait {
+            round.await_nobody();
+        }
+        if self.breakage == Breakage::NoVerification {
+            round.note_verified(self.now);
+            newest = round.token();
+        }
+        match round.state(newest, self.now) {
+            RoundState::Void => {}
+            RoundState::Order => {
+                self.nodes[node].ordered = Some((round.token(), self.now));
+            }
+            RoundState::Verify => {
+                let is_newest = self.stored == round.token();
+                if self.reaches_store(node) && is_newest {
+                    round.note_verified(self.now);
+                }
+                if !self.reaches_store(node) || is_newest {
+                    self.nodes[node].round = Some(round);
+                }
+            }
+            RoundState::Await => self.nodes[node].round = Some(round),
+        }
+    }
+
+    /// The promotion service does not look at tokens.
+    fn carry_out(&mut self, node: usize) {
+        if let Some((token, _)) = self.nodes[node].ordered.take() {
+            if token < self.effective {
+                self.violation = Some(format!("n{node} ordered {token} after {}", self.effective));
+            }
+            self.effective = token;
+        }
+    }
+
+    /// The process ends; an order that is under way is carried out.
+    fn restart(&mut self, node: usize, from: usize) {
+        self.carry_out(node);
+        let known = (node != from && self.reaches(node, from)).then(|| self.nodes[from].clone());
+        self.nodes[node] = Node {
+            started_at: self.now,
+            token: known.as_ref().map_or(0, |known| known.token),
+            told_at: known.and_then(|known| known.told_at),
+            ..Node::default()
+        };
+    }
+
+    fn check(&mut self) {
+        for (index, node) in self.nodes.iter().enumerate() {
+            let believes = node.evidence().holds(self.now) || self.breakage == Breakage::NoLease;
+            if believes && node.token < self.effective {
+                let effective = self.effective;
+                let text = format!(
+                    "n{index} believes the lead of {}, not {effective}",
+                    node.token
+                );
+                self.violation.get_or_insert(text);
+            }
+        }
+    }
+}
--- a/crates/spurpier-pipeline/src/clock.rs
+++ b/crates/spurpier-pipeline/src/clock.rs
@@ -43,6 +43,11 @@
         Timestamp::ZERO + HEAD_START + self.origin.elapsed()
     }
 
+    /// When the clock was made.
+    pub fn started_at(&self) -> Timestamp {
+        Timestamp::ZERO + HEAD_START
+    }
+
     /// How long the clock has run.
     pub fn runs_for(&self) -> Duration {
         self.origin.elapsed()
--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -1,25 +1,31 @@
 //! What all sessions and tasks of a node share.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use spurpier_core::lead::Distance;
+use spurpier_core::lead::{Distance, LeaseEvidence, Succession};
 use spurpier_core::retry::{RetryBudget, RetryBudgetSettings};
+use spurpier_core::time::Timestamp;
+use spurpier_events::log_event;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
 use crate::configuration::InForce;
+use crate::events;
 use crate::forward::Links;
 use crate::group::Group;
 use crate::homes::{ChosenNodes, Homes};
 use crate::known_tables::KnownTables;
 use crate::log_budget::LogBudget;
 use crate::metrics::Metrics;
-use crate::ports::{ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect};
+use crate::ports::{
+    ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
+};
+use crate::server::Server;
 use crate::settings::PipelineSettings;
 
 /// Attempts beyond the first: a lost server makes many statements try again at the same time, so
@@ -59,6 +65,10 @@
     pub links: Links,
     /// Whether the store left this node's last call without an answer.
     pub store_lost: AtomicBool,
+    /// When a question left after which the voters renewed this node's lease.
+    pub lease_confirmed_at: Mutex<Option<Timestamp>>,
+    /// The highest token of a succession that this node knows, of whatever group.
+    pub newest_token: AtomicU64,
     /// Whether the servers have been read once.
     pub directory_known: watch::Sender<bool>,
     /// Bounds attempts beyond the first.
@@ -119,6 +129,64 @@
         known.unwrap_or(UNKNOWN_LIMIT) * 9 / 10
     }
 
+    /// What gives this node the lease to use leads.
+    pub fn lease(&self) -> LeaseEvidence {
+        let told_at = self.known_tables.told_at(Table::Cluster);
+        let confirmed_at = self.lease_confirmed_at.lock();
+        LeaseEvidence {
+            // A decision waits only for nodes that are listed.
+            told_at: told_at.filter(|_| self.homes.lists_self()),
+            confirmed_at: *confirmed_at.unwrap_or_else(PoisonError::into_inner),
+        }
+    }
+
+    /// Whether leads may be used at all.
+    pub fn holds_lease(&self) -> bool {
+        self.lease().holds(self.clock.now())
+    }
+
+    /// Whether a server may be used as its group's lead, and what it answers be believed: no other
+    /// server can have taken the lead before this moment.
+    pub fn may_lead(&self, group: &Group, server: &Server) -> bool {
+        group.is_successor(&server.instance) && self.holds_lease()
+    }
+
+    /// The names of the nodes that renew each other's leases while the store is away.
+    pub fn voters(&self) -> Vec<String> {
+        let voters = self.homes.watchers();
+        let own = voters.is_own.then(|| self.settings.node.name.clone());
+        let others = voters.others.iter().map(|voter| voter.name.clone());
+        others.chain(own).collect()
+    }
+
+    /// The highest token of a succession that this node knows; 0 if it knows none.
+    pub fn newest_token(&self) -> u64 {
+        self.newest_token.load(Ordering::Relaxed)
+    }
+
+    /// The same, as a voter tells it: none before the store has told of the successions in this
+    /// life, since the former one may have yielded to one that this one does not know.
+    pub fn standing(&self) -> Option<u64> {
+        let told_at = self.known_tables.told_at(Table::Cluster)?;
+        (told_at > self.clock.started_at()).then(|| self.newest_token())
+    }
+
+    /// Takes in that a server takes over a group; tells whether that is new.
+    pub fn take_succession(&self, group: &Group, succession: &Succession) -> bool {
+        let is_new = group.take_succession(succession);
+        if is_new {
+            self.newest_token
+                .fetch_max(succession.token, Ordering::Relaxed);
+            log_event!(
+                events::SUCCESSION_KNOWN,
+                group = group.name,
+                server = succession.successor,
+                token = succession.token
+            );
+        }
+        is_new
+    }
+
     /// How far a zone is.
     pub fn distance(&self, zone: &str) -> Distance {
         let node = &self.settings.node;
--- a/crates/spurpier-pipeline/src/duty/holder.rs
+++ b/crates/spurpier-pipeline/src/duty/holder.rs
@@ -1,23 +1,29 @@
-//! The row of the duty in the store: reading it, and taking a new token.
+//! The rows of the duty in the store: reading them, and storing a decision under a new token.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use nanoserde::{DeBin, SerBin};
-use spurpier_core::lead::DutyRow;
+use spurpier_core::lead::{DutyRow, Succession};
+use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
 use tokio::time::timeout;
 
 use crate::context::Context;
 use crate::events;
-use crate::ports::{FencingToken, Table, TransactOutcome, Transaction, Write};
+use crate::group::Group;
+use crate::membership::succession_key;
+use crate::ports::{Condition, FencingToken, Row, Table, TransactOutcome, Transaction, Write};
+use crate::server::Server;
 
-/// The key of the row.
+/// The key of the row of the duty's holder.
 const KEY: &str = "promotion";
+/// What stands before the group and the node in the key of a node's yield.
+const YIELD_PREFIX: &str = "yield/";
 /// How long one call may take.
 const CALL_LIMIT: Duration = Duration::from_millis(800);
 
-/// The row as it was read.
+/// The holder's row as it was read.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct KnownDuty {
     /// The row; none if there is none.
@@ -26,45 +32,181 @@
     pub version: u64,
 }
 
-/// Reads the row; none if the store does not answer.
-pub async fn read_duty(context: &Context) -> Option<KnownDuty> {
+/// A node that told the store that it has yielded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredYield {
+    /// The group.
+    pub group: String,
+    /// The node.
+    pub node: String,
+    /// The token of the succession that it has yielded to.
+    pub token: u64,
+}
+
+/// What the store says of the duty.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct ReadDuty {
+    /// The holder.
+    pub holder: KnownDuty,
+    /// The nodes that have yielded by way of the store.
+    pub yields: Vec<StoredYield>,
+}
+
+/// A decision that stands in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Decision {
+    /// The group's new lead, and the decision's token.
+    pub succession: Succession,
+    /// The version of the succession's row.
+    pub version: u64,
+    /// When the decision was sent to the store.
+    pub sent_at: Timestamp,
+    /// When the store had acknowledged it.
+    pub stored_at: Timestamp,
+}
+
+impl Decision {
+    /// The token under which the successor is ordered to lead.
+    pub fn token(&self) -> FencingToken {
+        FencingToken(self.succession.token)
+    }
+}
+
+/// Reads the rows of the duty; none if the store does not answer.
+pub async fn read_duty(context: &Context) -> Option<ReadDuty> {
     let read = timeout(CALL_LIMIT, context.store.read(Table::Duty)).await;
     let Ok(Ok(read)) = read else {
         context.note_store_failure();
         return None;
     };
     context.note_store_answer();
-    let Some(row) = read.rows.into_iter().find(|row| row.key == KEY) else {
-        return Some(KnownDuty::default());
-    };
-    Some(KnownDuty {
+    let holder = read.rows.iter().find(|row| row.key == KEY);
+    let holder = holder.map_or_else(KnownDuty::default, |row| KnownDuty {
         row: DutyRow::deserialize_bin(&row.value).ok(),
         version: row.version,
+    });
+    let yields = read.rows.iter().filter_map(stored_yield).collect();
+    Some(ReadDuty { holder, yields })
+}
+
+fn stored_yield(row: &Row) -> Option<StoredYield> {
+    let (group, node) = row.key.strip_prefix(YIELD_PREFIX)?.rsplit_once('/')?;
+    Some(StoredYield {
+        group: group.to_owned(),
+        node: node.to_owned(),
+        token: u64::deserialize_bin(&row.value).ok()?,
     })
 }
 
-/// Takes the next token, if the row has not changed since it was read.
+fn yield_key(group: &str, node: &str) -> String {
+    format!("{YIELD_PREFIX}{group}/{node}")
+}
+
+/// Tells the store that this node has yielded to a succession; false if the store does not answer.
+pub async fn store_yield(context: &Context, group: &Group, token: u64) -> bool {
+    let write = own_yield(context, group, token);
+    make(context, Vec::new(), vec![write]).await.is_some()
+}
+
+fn own_yield(context: &Context, group: &Group, token: u64) -> Write {
+    Write::Put {
+        table: Table::Duty,
+        key: yield_key(&group.name, &context.settings.node.name),
+        value: Bytes::from(token.serialize_bin()),
+    }
+}
+
+/// Removes the yields to a decision that is over.
+pub async fn remove_yields(context: &Context, yields: &[StoredYield]) {
+    let writes = yields.iter().map(|known| Write::Remove {
+        table: Table::Duty,
+        key: yield_key(&known.group, &known.node),
+    });
+    let writes: Vec<Write> = writes.collect();
+    if !writes.is_empty() {
+        // What is left is replaced when the node yields again.
+        make(context, Vec::new(), writes).await;
+    }
+}
+
+/// Stores the decision that a server takes over its group, under the next token, if the holder's
+/// row has not changed since it was read.
 ///
 /// None if it has, or if the store does not tell; the row is then to be read again, since a call
 /// without an answer may be carried out later.
-pub async fn take_token(context: &Context, known: &KnownDuty) -> Option<FencingToken> {
+pub async fn store_decision(
+    context: &Context,
+    known: &KnownDuty,
+    group: &Group,
+    successor: &Server,
+) -> Option<Decision> {
     let next = DutyRow::next(known.row.as_ref(), &context.settings.node.name);
-    let call = context.store.transact(Transaction {
+    let succession = Succession {
+        token: next.token,
+        successor: successor.instance.clone(),
+    };
+    let condition = Condition {
         table: Table::Duty,
-        conditions: vec![(KEY.to_owned(), known.version)],
-        writes: vec![Write::Put {
+        key: KEY.to_owned(),
+        version: known.version,
+    };
+    let writes = vec![
+        Write::Put {
+            table: Table::Duty,
             key: KEY.to_owned(),
             value: Bytes::from(next.serialize_bin()),
-        }],
-    });
-    match timeout(CALL_LIMIT, call).await {
-        Ok(Ok(TransactOutcome::Made(_))) => {
-            log_event!(events::DUTY_TAKEN, token = next.token);
-            Some(FencingToken(next.token))
-        }
-        _ => {
-            log_event!(events::DUTY_REFUSED, token = next.token);
-            None
-        }
+        },
+        Write::Put {
+            table: Table::Cluster,
+            key: succession_key(&group.name),
+            value: Bytes::from(succession.serialize_bin()),
+        },
+    ];
+    let sent_at = context.clock.now();
+    let Some(version) = make(context, vec![condition], writes).await else {
+        log_event!(events::DUTY_REFUSED, token = next.token);
+        return None;
+    };
+    log_event!(events::DUTY_TAKEN, token = next.token);
+    Some(Decision {
+        succession,
+        version,
+        sent_at,
+        stored_at: context.clock.now(),
+    })
+}
+
+/// Whether a decision is still its group's newest; none if the store does not tell.
+pub async fn confirm_decision(
+    context: &Context,
+    group: &Group,
+    decision: &Decision,
+) -> Option<bool> {
+    let condition = Condition {
+        table: Table::Cluster,
+        key: succession_key(&group.name),
+        version: decision.version,
+    };
+    let writes = vec![own_yield(context, group, decision.succession.token)];
+    match transact(context, vec![condition], writes).await? {
+        TransactOutcome::Made(_) => Some(true),
+        TransactOutcome::Conflict(_) => Some(false),
     }
 }
+
+/// Makes a transaction; its version, or none if it was not made or the store does not tell.
+async fn make(context: &Context, conditions: Vec<Condition>, writes: Vec<Write>) -> Option<u64> {
+    match transact(context, conditions, writes).await? {
+        TransactOutcome::Made(version) => Some(version),
+        TransactOutcome::Conflict(_) => None,
+    }
+}
+
+async fn transact(
+    context: &Context,
+    conditions: Vec<Condition>,
+    writes: Vec<Write>,
+) -> Option<TransactOutcome> {
+    let call = context.store.transact(Transaction { conditions, writes });
+    timeout(CALL_LIMIT, call).await.ok()?.ok()
+}
--- a/crates/spurpier-pipeline/src/duty/messages.rs
+++ b/crates/spurpier-pipeline/src/duty/messages.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use nanoserde::{DeBin, SerBin};
+use spurpier_core::lead::Succession;
 use spurpier_core::position::Position;
 
 /// Says that no proof of lead is known.
@@ -35,6 +36,36 @@
         /// The group.
         group: String,
     },
+    /// Asks the receiver to use no other server than the successor as a group's lead.
+    AskYield {
+        /// The question's number.
+        number: u64,
+        /// The group.
+        group: String,
+        /// The succession.
+        succession: Succession,
+        /// The version of its row.
+        version: u64,
+    },
+    /// Answers `AskYield`.
+    Yielded {
+        /// The question's number.
+        number: u64,
+        /// The token of the newest succession that the sender of the answer has yielded to.
+        token: u64,
+    },
+    /// Asks a voter up to which succession it has yielded, of whatever group.
+    AskStanding {
+        /// The question's number.
+        number: u64,
+    },
+    /// Answers `AskStanding`.
+    Standing {
+        /// The question's number.
+        number: u64,
+        /// The highest token that it knows; none if it may have forgotten one at a restart.
+        token: Option<u64>,
+    },
     /// Answers `Wanted`: the receiver of it holds the duty and sees to the group.
     Heard {
         /// The question's number.
--- a/crates/spurpier-pipeline/src/duty/peers.rs
+++ b/crates/spurpier-pipeline/src/duty/peers.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::messages::{PeerMessage, decode_ago, encode_ago};
+use super::round::yield_to;
 use crate::context::Context;
 use crate::group::Group;
 use crate::unit::renew_proof;
@@ -84,7 +85,28 @@
                     self.send(&PeerMessage::Heard { number }, from).await;
                 }
             }
-            PeerMessage::Sight { number, .. } | PeerMessage::Heard { number } => {
+            PeerMessage::AskYield {
+                number,
+                group,
+                succession,
+                version,
+            } => {
+                let group = self.context.group(&group);
+                if yield_to(&self.context, &group, &succession, version) {
+                    let token = group.token();
+                    self.send(&PeerMessage::Yielded { number, token }, from)
+                        .await;
+                }
+            }
+            PeerMessage::AskStanding { number } => {
+                let token = self.context.standing();
+                self.send(&PeerMessage::Standing { number, token }, from)
+                    .await;
+            }
+            PeerMessage::Sight { number, .. }
+            | PeerMessage::Heard { number }
+            | PeerMessage::Yielded { number, .. }
+            | PeerMessage::Standing { number, .. } => {
                 let awaited = self.awaited.lock().unwrap_or_else(PoisonError::into_inner);
                 if let Some(sender) = awaited.get(&number) {
                     // An answer beyond the capacity is a repeated one.
@@ -130,7 +152,7 @@
             group: group.name.clone(),
         };
         let asked_at = self.context.clock.now();
-        let answers = self.ask(question, &addresses).await;
+        let answers = self.ask(question, &addresses, addresses.len()).await;
         let mut sights = Vec::new();
         let mut relay = None;
         for home in homes {
@@ -167,16 +189,31 @@
             group: group.to_owned(),
         };
         match address {
-            Some(address) => !self.ask(question, &[address]).await.is_empty(),
+            Some(address) => !self.ask(question, &[address], 1).await.is_empty(),
             None => false,
         }
     }
 
-    /// Sends a question until all have answered or the time is over.
-    async fn ask(
+    /// The tokens that the other voters tell, each the highest that it knows, until `enough` have
+    /// told one.
+    pub async fn standings(&self, enough: usize) -> Vec<u64> {
+        let voters = &self.context.homes.watchers().others;
+        let addresses: Vec<SocketAddr> = voters.iter().map(|voter| voter.address).collect();
+        let question = |number| PeerMessage::AskStanding { number };
+        let answers = self.ask(question, &addresses, enough).await;
+        let tokens = answers.values().filter_map(|answer| match answer {
+            PeerMessage::Standing { token, .. } => *token,
+            _ => None,
+        });
+        tokens.collect()
+    }
+
+    /// Sends a question until `enough` have answered or the time is over.
+    pub async fn ask(
         &self,
         question: impl FnOnce(u64) -> PeerMessage,
         addresses: &[SocketAddr],
+        enough: usize,
     ) -> HashMap<SocketAddr, PeerMessage> {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let question = question(number);
@@ -184,14 +221,15 @@
         let _awaited = Awaited::new(self, number, sender);
         let mut answers = HashMap::new();
         let end = Instant::now() + ANSWER_LIMIT;
-        while answers.len() < addresses.len() && Instant::now() < end {
+        let enough = enough.min(addresses.len());
+        while answers.len() < enough && Instant::now() < end {
             for address in addresses {
                 if !answers.contains_key(address) {
                     self.send(&question, *address).await;
                 }
             }
             let round_end = end.min(Instant::now() + ASK_AGAIN);
-            collect(&mut receiver, &mut answers, addresses.len(), round_end).await;
+            collect(&mut receiver, &mut answers, enough, round_end).await;
         }
         answers
     }
--- /dev/null
+++ b/crates/spurpier-pipeline/src/duty/round.rs
@@ -0,0 +1,211 @@
+//! The round in which all nodes yield to a succession, as the node runs it that has decided.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use nanoserde::SerBin;
+use spurpier_core::lead::{RoundState, Succession, YieldRound};
+use spurpier_events::log_event;
+
+use super::holder::{
+    Decision, StoredYield, confirm_decision, read_duty, remove_yields, store_yield,
+};
+use super::messages::PeerMessage;
+use super::peers::Peers;
+use crate::context::Context;
+use crate::events;
+use crate::group::{Group, Ordering};
+use crate::homes::PeerNode;
+use crate::membership::succession_key;
+use crate::ports::{Row, Table};
+
+/// How often the store is asked whether a decision is the newest before it is given up.
+const VERIFICATIONS: usize = 3;
+/// How long the deciding node may take to ask this one before it tells the store by itself.
+const ASKED_WITHIN: Duration = Duration::from_millis(250);
+/// How often this node tells the store that it has yielded, until the store answers.
+const STORED_YIELDS: usize = 8;
+/// The pause after a look at the store that told nothing new.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// For how long nodes are awaited before their names are logged.
+const LOGGED_AFTER: Duration = Duration::from_millis(600);
+
+/// A decision whose successor may be ordered to lead once all have yielded.
+pub struct Round<'a> {
+    context: &'a Context,
+    peers: &'a Peers,
+    group: &'a Group,
+    decision: &'a Decision,
+    round: YieldRound,
+    users: Vec<PeerNode>,
+    stored: Vec<StoredYield>,
+    has_logged: bool,
+}
+
+impl<'a> Round<'a> {
+    /// The round of a decision that has just been stored.
+    ///
+    /// A node that is listed later than the decision was stored reads it before it uses a lead.
+    pub fn new(
+        context: &'a Context,
+        peers: &'a Peers,
+        group: &'a Group,
+        decision: &'a Decision,
+    ) -> Self {
+        let own = context.settings.node.name.as_str();
+        let users = context.homes.lead_users(context.clock.now());
+        let round = YieldRound::new(
+            decision.succession.token,
+            decision.sent_at,
+            decision.stored_at,
+            own,
+            users.iter().map(|user| user.name.clone()),
+            context.voters(),
+        );
+        Round {
+            context,
+            peers,
+            group,
+            decision,
+            round,
+            users,
+            stored: Vec::new(),
+            has_logged: false,
+        }
+    }
+
+    /// Takes in that the former primary has stepped down: nobody can use it any more.
+    pub fn note_stepped_down(&mut self) {
+        self.round.await_nobody();
+    }
+
+    /// Waits until the successor may be ordered to lead; the order must leave at once. None if a
+    /// newer decision is known, or the store does not tell.
+    pub async fn await_order(&mut self) -> Option<Ordering<'a>> {
+        loop {
+            let now = self.context.clock.now();
+            match self.round.state(self.group.token(), now) {
+                RoundState::Void => return None,
+                RoundState::Order => return Some(self.group.start_ordering()),
+                RoundState::Verify => self.verify().await?,
+                RoundState::Await => {
+                    self.ask_awaited().await;
+                    self.log_awaited();
+                    self.look_at_store().await;
+                }
+            }
+        }
+    }
+
+    /// Forgets what nodes have told the store for this round.
+    pub async fn clean_up(&self) {
+        remove_yields(self.context, &self.stored).await;
+    }
+
+    async fn ask_awaited(&mut self) {
+        let awaited = self.users.iter();
+        let awaited = awaited.filter(|user| self.round.awaits(&user.name));
+        let names: HashMap<SocketAddr, String> = awaited
+            .map(|user| (user.address, user.name.clone()))
+            .collect();
+        let addresses: Vec<SocketAddr> = names.keys().copied().collect();
+        let question = |number| PeerMessage::AskYield {
+            number,
+            group: self.group.name.clone(),
+            succession: self.decision.succession.clone(),
+            version: self.decision.version,
+        };
+        let answers = self.peers.ask(question, &addresses, addresses.len()).await;
+        let now = self.context.clock.now();
+        for (address, answer) in answers {
+            if let (Some(name), PeerMessage::Yielded { token, .. }) = (names.get(&address), answer)
+            {
+                self.round.note_yielded(name, token, now);
+            }
+        }
+    }
+
+    fn log_awaited(&mut self) {
+        let now = self.context.clock.now();
+        let awaited = self.users.iter();
+        let awaited = awaited.filter(|user| self.round.awaits(&user.name));
+        let awaited: Vec<&str> = awaited.map(|user| user.name.as_str()).collect();
+        let is_long = now.since(self.decision.stored_at) >= LOGGED_AFTER;
+        if self.has_logged || awaited.is_empty() || !is_long {
+            return;
+        }
+        self.has_logged = true;
+        log_event!(
+            events::NODES_AWAITED,
+            group = self.group.name,
+            token = self.round.token(),
+            nodes = awaited.join(" ")
+        );
+    }
+
+    /// Takes in which nodes have told the store that they have yielded.
+    async fn look_at_store(&mut self) {
+        if let Some(duty) = read_duty(self.context).await {
+            let now = self.context.clock.now();
+            let yields = duty.yields.into_iter();
+            self.stored = yields
+                .filter(|known| known.group == self.group.name)
+                .collect();
+            for known in &self.stored {
+                self.round.note_yielded(&known.node, known.token, now);
+            }
+        }
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+
+    /// Asks the store whether the decision is still the group's newest; none if it is not, or if
+    /// the store does not tell for long.
+    async fn verify(&mut self) -> Option<()> {
+        for _ in 0..VERIFICATIONS {
+            let asked_at = self.context.clock.now();
+            match confirm_decision(self.context, self.group, self.decision).await {
+                Some(true) => {
+                    self.round.note_verified(asked_at);
+                    return Some(());
+                }
+                Some(false) => return None,
+                None => tokio::time::sleep(LOOK_PAUSE).await,
+            }
+        }
+        None
+    }
+}
+
+/// Takes in a succession that the deciding node has told of, and tells whether this node may say
+/// that it has yielded: not while its own order for the group is under way.
+pub fn yield_to(context: &Context, group: &Group, succession: &Succession, version: u64) -> bool {
+    if group.is_ordering() {
+        return false;
+    }
+    context.take_succession(group, succession);
+    // A node that asks this one for the table, as after a restart, must learn of it too.
+    let row = Row {
+        key: succession_key(&group.name),
+        value: Bytes::from(succession.serialize_bin()),
+        version,
+        gone: false,
+    };
+    context.known_tables.insert(Table::Cluster, &row);
+    group.note_asked(succession.token);
+    true
+}
+
+/// Tells the deciding node by way of the store that this node has yielded, unless that one has
+/// asked this one meanwhile.
+pub async fn yield_by_store(context: Arc<Context>, group: Arc<Group>, token: u64) {
+    for _ in 0..STORED_YIELDS {
+        tokio::time::sleep(ASKED_WITHIN).await;
+        let is_told = group.asked_token() >= token || group.token() > token;
+        if is_told || (!group.is_ordering() && store_yield(&context, &group, token).await) {
+            return;
+        }
+    }
+}
--- a/crates/spurpier-pipeline/src/duty/successor.rs
+++ b/crates/spurpier-pipeline/src/duty/successor.rs
@@ -1,4 +1,4 @@
-//! Handing a group over: who takes over, and the order.
+//! Who takes a group over, what the servers must have received before, and the order.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,12 +28,23 @@
 /// How long the promotion service may take to answer.
 const ORDER_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// A replica and what it told.
+/// A server and what it told.
 struct Told {
     server: Arc<Server>,
     status: Option<ServerStatus>,
 }
 
+impl Told {
+    fn leads(&self) -> bool {
+        let status = self.status.as_ref();
+        status.is_some_and(|status| status.role == ServerRole::Primary)
+    }
+
+    fn term(&self) -> u64 {
+        self.status.as_ref().map_or(0, |status| status.term)
+    }
+}
+
 /// Asks one server; none if it does not tell.
 async fn ask(
     context: &Context,
@@ -87,77 +98,113 @@
     Some(Arc::clone(&told[chosen].server))
 }
 
-/// Lets a replica take over from a primary that is lost.
+/// The server that is to take over from a primary that is lost; none if there is none yet.
 ///
-/// With synchronous replicas they are paused first, so that the former primary acknowledges
-/// nothing more that the successor would lack.
-pub async fn replace_lost(
+/// A server that leads already, by an order that was carried out late or whose answer was lost,
+/// goes before all others.
+pub async fn find_successor(
     context: &Context,
     group: &Group,
     former: Option<&Server>,
-    token: FencingToken,
-) -> Option<Result<PromotionAnswer, StoreError>> {
+) -> Option<Arc<Server>> {
+    let told = ask_replicas(context, group, former, ServerRequest::Status).await;
+    let leading = told.iter().filter(|told| told.leads());
+    let leading = leading.max_by_key(|told| told.term());
+    match leading.filter(|leading| leading.term() == newest_term(&told)) {
+        Some(leading) => Some(Arc::clone(&leading.server)),
+        None => choose(&told, group.synchronous_replicas()),
+    }
+}
+
+/// Makes sure, where commits wait for replicas, that the chosen successor of a lost primary holds
+/// all that was acknowledged: the replicas are paused, so that the former primary acknowledges
+/// nothing more, and asked again.
+pub async fn holds_all(
+    context: &Context,
+    group: &Group,
+    former: Option<&Server>,
+    successor: &Server,
+) -> bool {
     let synchronous = group.synchronous_replicas();
-    let mut told = ask_replicas(context, group, former, ServerRequest::Status).await;
-    if synchronous > 0 {
-        let newest = told.iter().filter_map(|told| told.status.as_ref());
-        let term = newest.map(|status| status.term).max()? + 1;
-        told = ask_replicas(context, group, former, ServerRequest::Pause { term }).await;
+    if synchronous == 0 {
+        return true;
     }
-    let Some(successor) = choose(&told, synchronous) else {
-        resume(context, group, former, synchronous).await;
-        return None;
-    };
-    let answer = order(context, group, &successor, token).await;
-    // An order that changes nothing, since the successor leads already, resumes nobody.
-    resume(context, group, former, synchronous).await;
-    Some(answer)
+    let told = ask_replicas(context, group, former, ServerRequest::Status).await;
+    let term = newest_term(&told) + 1;
+    let told = ask_replicas(context, group, former, ServerRequest::Pause { term }).await;
+    let chosen = choose(&told, synchronous);
+    let holds_all = chosen.is_some_and(|chosen| {
+        let received = |name: &str| {
+            let mut told = told.iter();
+            let told = told.find(|told| told.server.instance == name)?;
+            Some(told.status.as_ref()?.received)
+        };
+        received(&chosen.instance) == received(&successor.instance)
+    });
+    if !holds_all {
+        resume(context, group, former).await;
+    }
+    holds_all
 }
 
-async fn resume(context: &Context, group: &Group, former: Option<&Server>, synchronous: usize) {
-    if synchronous > 0 {
+/// Lets the replicas receive again that were paused for a decision.
+///
+/// An order that changes nothing, since the successor leads already, resumes nobody.
+pub async fn resume(context: &Context, group: &Group, former: Option<&Server>) {
+    if group.synchronous_replicas() > 0 {
         ask_replicas(context, group, former, ServerRequest::Resume).await;
     }
 }
 
-/// Lets a replica take over from a primary that leaves, without losing a commit: the primary
-/// steps down, and the successor receives all that it has.
+/// The server that is to take over from a primary that leaves; none if there is none yet, or if
+/// the former primary does not lead any more: another node's decision was faster.
 ///
-/// Nothing is done if the former primary does not lead any more: another node's decision was
-/// faster. With synchronous replicas the primary steps down only if a successor surely holds what
-/// was acknowledged so far, and the order is given only once that one has the rest.
-pub async fn hand_over(
+/// With synchronous replicas it surely holds what was acknowledged so far.
+pub async fn find_heir(
     context: &Context,
     group: &Group,
     former: &Arc<Server>,
-    token: FencingToken,
-) -> Option<Result<PromotionAnswer, StoreError>> {
+) -> Option<Arc<Server>> {
     let told = ask_replicas(context, group, Some(former), ServerRequest::Status).await;
-    let synchronous = group.synchronous_replicas();
-    let successor = choose(&told, synchronous)?;
+    let heir = choose(&told, group.synchronous_replicas())?;
     let status = ask(context, former, ServerRequest::Status).await;
-    if status
-        .as_ref()
-        .is_some_and(|status| status.role == ServerRole::Replica)
-    {
-        return None;
-    }
-    let term = status.map_or_else(|| newest_term(&told), |status| status.term);
-    let request = ServerRequest::StepDown { term: term + 1 };
-    let has_all = match ask(context, former, request).await {
-        Some(status) => await_position(context, &successor, status.received).await,
-        None => false,
+    let is_replica = status.is_some_and(|status| status.role == ServerRole::Replica);
+    (!is_replica).then_some(heir)
+}
+
+/// What became of a leaving primary that was told to step down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SteppedDown {
+    /// It has, and the heir has received all that it had.
+    HeirHasAll,
+    /// It has; the heir lacks some of it.
+    HeirLacks,
+    /// It did not say so.
+    Unknown,
+}
+
+/// Makes a leaving primary a replica and lets its heir receive the rest.
+pub async fn step_down(
+    context: &Context,
+    group: &Group,
+    former: &Arc<Server>,
+    heir: &Arc<Server>,
+) -> SteppedDown {
+    let told = ask_replicas(context, group, None, ServerRequest::Status).await;
+    let term = newest_term(&told) + 1;
+    let status = ask(context, former, ServerRequest::StepDown { term }).await;
+    let Some(status) = status.filter(|status| status.role == ServerRole::Replica) else {
+        return SteppedDown::Unknown;
     };
-    if synchronous > 0 && !has_all {
-        return None;
+    if await_position(context, heir, status.received).await {
+        SteppedDown::HeirHasAll
+    } else {
+        SteppedDown::HeirLacks
     }
-    // A successor that is too far behind takes over all the same: the group must serve.
-    Some(order(context, group, &successor, token).await)
 }
 
 fn newest_term(told: &[Told]) -> u64 {
-    let statuses = told.iter().filter_map(|told| told.status.as_ref());
-    statuses.map(|status| status.term).max().unwrap_or(0)
+    told.iter().map(Told::term).max().unwrap_or(0)
 }
 
 /// Waits until a server has received a position, for a while; tells whether it has.
@@ -174,7 +221,8 @@
     timeout(CATCH_UP_LIMIT, waiting).await.is_ok()
 }
 
-async fn order(
+/// Orders a server to lead.
+pub async fn order(
     context: &Context,
     group: &Group,
     successor: &Server,
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -4,19 +4,22 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use spurpier_core::lead::{DutyStep, HolderRecord, Missing, Verdict, judge, next_step};
+use spurpier_core::lead::{DutyStep, HolderRecord, Missing, Verdict, blocking, judge, next_step};
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::holder::{KnownDuty, read_duty, take_token};
+use super::holder::{Decision, KnownDuty, read_duty, store_decision};
 use super::peers::Peers;
-use super::successor::{hand_over, replace_lost};
+use super::round::{Round, yield_to};
+use super::successor::{
+    SteppedDown, find_heir, find_successor, holds_all, order, resume, step_down,
+};
 use crate::context::Context;
 use crate::events;
 use crate::group::Group;
-use crate::ports::PromotionAnswer;
+use crate::ports::{PromotionAnswer, StoreError};
 use crate::server::Server;
 use crate::unit::{NotRun, renew_proof};
 
@@ -140,6 +143,11 @@
         let clock = &self.context.clock;
         let started = clock.now();
         self.assessed_at = started;
+        if !self.context.holds_lease() {
+            // That the lead cannot be used says nothing of it.
+            self.missing_since = None;
+            return Need::Patience;
+        }
         let until = started + PROVING_LIMIT;
         let proven = renew_proof(&self.context, &self.group, started, until).await;
         let lead = self.group.lead();
@@ -165,12 +173,20 @@
             return Need::Patience;
         }
         let claimant = self.claimant();
-        let (peers, asked) = self.peers.sights(&self.group).await;
+        let voters = self.context.homes.watchers();
+        let own_vote = usize::from(voters.is_own);
+        let blocking = blocking(voters.count);
+        let (sights, standings) = tokio::join!(
+            self.peers.sights(&self.group),
+            self.peers.standings(blocking.saturating_sub(own_vote))
+        );
+        let (peers, asked) = sights;
         let missing = Missing {
             missing_for,
             peers,
             asked,
             listed: claimant.is_some(),
+            blocks_renewal: standings.len() + own_vote >= blocking,
         };
         if judge(&missing, PATIENCE) == Verdict::Keep {
             return Need::Patience;
@@ -200,6 +216,7 @@
         let Some(duty) = read_duty(&self.context).await else {
             return;
         };
+        let duty = duty.holder;
         let now = self.context.clock.now();
         let record = match &self.holder {
             Some((known, record)) if *known == duty => *record,
@@ -208,7 +225,8 @@
         self.holder = Some((duty.clone(), record));
         let own_name = self.context.settings.node.name.as_str();
         match next_step(duty.row.as_ref(), own_name, &record, now) {
-            DutyStep::Decide => self.decide(&duty, former, planned).await,
+            DutyStep::Decide if planned => self.hand_over(&duty, former).await,
+            DutyStep::Decide => self.replace(&duty, former).await,
             DutyStep::AskHolder => self.ask_holder(&duty).await,
         }
     }
@@ -224,24 +242,87 @@
         }
     }
 
-    async fn decide(&mut self, duty: &KnownDuty, former: Option<Arc<Server>>, planned: bool) {
-        let Some(token) = take_token(&self.context, duty).await else {
+    /// Replaces a lost primary, once no node can use it any more.
+    async fn replace(&mut self, duty: &KnownDuty, former: Option<Arc<Server>>) {
+        let (context, group) = (Arc::clone(&self.context), Arc::clone(&self.group));
+        let successor = find_successor(&context, &group, former.as_deref()).await;
+        let Some(successor) = successor else {
+            // Each look costs calls to the servers.
+            tokio::time::sleep(UNDECIDED_PAUSE).await;
             return;
         };
-        if !planned && self.is_led_again() {
+        if self.is_led_again() {
             return;
         }
-        let (context, group) = (&self.context, &self.group);
-        let ordered = match &former {
-            Some(former) if planned => hand_over(context, group, former, token).await,
-            _ => replace_lost(context, group, former.as_deref(), token).await,
+        let Some(decision) = self.decide(duty, &successor).await else {
+            return;
         };
-        match ordered {
-            Some(Ok(PromotionAnswer::Refused)) => {}
-            // No successor is to be had yet; each decision costs a call.
-            None => tokio::time::sleep(UNDECIDED_PAUSE).await,
-            // An order without an answer may be carried out all the same.
-            Some(_) => self.await_take_over(former.as_deref()).await,
+        let peers = Arc::clone(&self.peers);
+        let mut round = Round::new(&context, &peers, &group, &decision);
+        let holds_all = holds_all(&context, &group, former.as_deref(), &successor).await;
+        if holds_all && let Some(ordering) = round.await_order().await {
+            let answer = order(&context, &group, &successor, decision.token()).await;
+            drop(ordering);
+            resume(&context, &group, former.as_deref()).await;
+            self.note_ordered(&answer, former.as_deref()).await;
+        } else {
+            resume(&context, &group, former.as_deref()).await;
+            tokio::time::sleep(UNDECIDED_PAUSE).await;
+        }
+        round.clean_up().await;
+    }
+
+    /// Hands a group over from a primary that leaves, without losing a commit: it steps down, its
+    /// heir receives the rest, and is ordered to lead.
+    async fn hand_over(&mut self, duty: &KnownDuty, former: Option<Arc<Server>>) {
+        let (context, group) = (Arc::clone(&self.context), Arc::clone(&self.group));
+        let Some(former) = former else {
+            return;
+        };
+        let Some(heir) = find_heir(&context, &group, &former).await else {
+            tokio::time::sleep(UNDECIDED_PAUSE).await;
+            return;
+        };
+        let Some(decision) = self.decide(duty, &heir).await else {
+            return;
+        };
+        let peers = Arc::clone(&self.peers);
+        let mut round = Round::new(&context, &peers, &group, &decision);
+        let stepped_down = step_down(&context, &group, &former, &heir).await;
+        if stepped_down != SteppedDown::Unknown {
+            round.note_stepped_down();
+        }
+        // A successor that is too far behind takes over all the same: the group must serve.
+        let may_order =
+            group.synchronous_replicas() == 0 || stepped_down == SteppedDown::HeirHasAll;
+        if may_order && let Some(ordering) = round.await_order().await {
+            let answer = order(&context, &group, &heir, decision.token()).await;
+            drop(ordering);
+            self.note_ordered(&answer, Some(&former)).await;
+        }
+        round.clean_up().await;
+    }
+
+    /// Stores the decision that a server takes over; from then on this node uses no other.
+    async fn decide(&mut self, duty: &KnownDuty, successor: &Server) -> Option<Decision> {
+        let decision = store_decision(&self.context, duty, &self.group, successor).await?;
+        yield_to(
+            &self.context,
+            &self.group,
+            &decision.succession,
+            decision.version,
+        );
+        Some(decision)
+    }
+
+    async fn note_ordered(
+        &mut self,
+        answer: &Result<PromotionAnswer, StoreError>,
+        former: Option<&Server>,
+    ) {
+        // An order without an answer may be carried out all the same.
+        if !matches!(answer, Ok(PromotionAnswer::Refused)) {
+            self.await_take_over(former).await;
         }
     }
 
--- a/crates/spurpier-pipeline/src/events.rs
+++ b/crates/spurpier-pipeline/src/events.rs
@@ -27,4 +27,6 @@
     PROMOTION_SENT = 6042, "promotion_sent", Warn, "a server is told to take over its group", "see why the former primary was lost, unless it was leaving";
     PROMOTION_ANSWERED = 6043, "promotion_answered", Info, "the promotion service has answered", "none";
     PRIMARY_SUSPECTED = 6044, "primary_suspected", Warn, "the primary of a group does not answer this node", "see the server and the way to it";
+    SUCCESSION_KNOWN = 6045, "succession_known", Info, "a server takes over its group, and no other is used as the lead from now on", "none if planned";
+    NODES_AWAITED = 6046, "nodes_awaited", Warn, "nodes that may still use a former primary do not answer; its successor waits until their leases have ended", "see the nodes that are named";
 }
--- a/crates/spurpier-pipeline/src/follow/mod.rs
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -6,6 +6,7 @@
 //! answer follows another one, and a node that no watcher serves follows the store.
 
 mod peer;
+mod store_clock;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -21,7 +22,10 @@
 use crate::events;
 use crate::homes::PeerNode;
 use crate::known_tables::{Cursor, News};
-use crate::ports::{Row, StoreError, Table};
+use crate::membership::is_node_row;
+use crate::ports::{ReadRows, Row, StoreError, Table};
+
+use self::store_clock::StoreClock;
 
 /// How long a whole read may take.
 const READ_LIMIT: Duration = Duration::from_millis(1_000);
@@ -30,8 +34,6 @@
 const CHANGES_WAIT: Duration = Duration::from_millis(1_800);
 /// How much longer than its wait a call for changes may take.
 const CHANGES_SLACK: Duration = Duration::from_millis(600);
-/// How long an answer of the store takes to come, at most, unless the way is disturbed.
-const TRANSIT: Duration = Duration::from_millis(300);
 /// The age from which on what another node tells is too old: as old as the store's own news get.
 const STALE: Duration = Duration::from_millis(2_500);
 /// The pauses after failed calls.
@@ -65,6 +67,7 @@
         version: None,
         knows_rows: false,
         told_at: Timestamp::ZERO,
+        store_clock: StoreClock::default(),
         cursors: HashMap::new(),
         passed_over: HashMap::new(),
     };
@@ -87,6 +90,7 @@
     knows_rows: bool,
     /// When the store last told of the table, to this node or to the one that it follows.
     told_at: Timestamp,
+    store_clock: StoreClock,
     /// Where this node stands in what others have told.
     cursors: HashMap<String, Cursor>,
     passed_over: HashMap<String, Timestamp>,
@@ -171,7 +175,8 @@
         let error = match timeout(READ_LIMIT, call).await {
             Ok(Ok(read)) => {
                 self.note_answer();
-                self.take_all(&read.rows, read.version, asked_at);
+                let told_at = self.moment_of(&read, asked_at);
+                self.take_all(&read.rows, read.version, told_at);
                 return;
             }
             Ok(Err(error)) => error,
@@ -196,14 +201,9 @@
         match timeout(wait + CHANGES_SLACK, call).await {
             Ok(Ok(changes)) => {
                 self.note_answer();
-                let told_at = if changes.rows.is_empty() {
-                    // The store answers that there is nothing only at the end of the wait.
-                    asked_at + wait
-                } else {
-                    asked_at.max(self.context.clock.now().before(TRANSIT))
-                };
+                let told_at = self.moment_of(&changes, asked_at);
                 self.take_changes(&changes.rows, changes.version, told_at);
-                if self.table == Table::Nodes && !changes.rows.is_empty() {
+                if self.table == Table::Cluster && changes.rows.iter().any(is_node_row) {
                     tokio::time::sleep(NODES_PAUSE).await;
                 }
             }
@@ -213,6 +213,12 @@
         }
     }
 
+    /// When the store has told this, at the earliest, on this node's clock.
+    fn moment_of(&mut self, read: &ReadRows, asked_at: Timestamp) -> Timestamp {
+        let now = self.context.clock.now();
+        self.store_clock.moment_of(read.now, asked_at, now)
+    }
+
     fn note_answer(&mut self) {
         self.context.metrics.count_store_call(true);
         self.context.note_store_answer();
--- a/crates/spurpier-pipeline/src/group.rs
+++ b/crates/spurpier-pipeline/src/group.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use spurpier_core::lead::{LeadCandidate, LeadEvidence, OwnCommit, Proof, choose_lead, read_floor};
+use spurpier_core::lead::{
+    LeadCandidate, LeadEvidence, OwnCommit, Proof, Succession, choose_lead, read_floor,
+};
 use spurpier_core::position::Position;
 use spurpier_core::time::Timestamp;
 use tokio::sync::watch;
@@ -33,6 +35,12 @@
     own_proof: Option<Proof>,
     proving: bool,
     synchronous_replicas: usize,
+    /// The newest decision on who leads.
+    succession: Option<Succession>,
+    /// The token of the newest succession that its deciding node has asked this one to yield to.
+    asked_token: u64,
+    /// Whether this node's order of a successor is under way.
+    ordering: bool,
     /// A node that reaches the lead while this one does not, and until when it is used.
     relay: Option<(PeerNode, Timestamp)>,
     /// Until when this node, which is no home, stands in for homes that it cannot reach.
@@ -128,6 +136,9 @@
     pub fn lead_candidate(&self, now: Timestamp, leaving_use: Duration) -> Option<Arc<Server>> {
         let inner = self.lock();
         let may_lead = |server: &&Arc<Server>| {
+            if !inner.is_successor(&server.instance) {
+                return false;
+            }
             let denied = inner.denied.get(&server.instance);
             let is_denied = denied.is_some_and(|until| *until > now);
             let leaving_for = server.leaving_for(now).unwrap_or_default();
@@ -141,6 +152,58 @@
         choose_lead(&candidates).map(|index| Arc::clone(servers[index]))
     }
 
+    /// The token of the newest succession; 0 if there was none.
+    pub fn token(&self) -> u64 {
+        self.lock().token()
+    }
+
+    /// Whether the newest succession, if there is one, names this server.
+    pub fn is_successor(&self, instance: &str) -> bool {
+        self.lock().is_successor(instance)
+    }
+
+    /// Takes in that a server takes over: from now on no other is used as the lead. Tells whether
+    /// that is new.
+    pub fn take_succession(&self, succession: &Succession) -> bool {
+        {
+            let mut inner = self.lock();
+            if succession.token <= inner.token() {
+                return false;
+            }
+            inner.succession = Some(succession.clone());
+            inner.denied.remove(&succession.successor);
+            if inner.lead.as_deref() != Some(succession.successor.as_str()) {
+                inner.lead = None;
+                inner.relay = None;
+            }
+        }
+        self.notify();
+        true
+    }
+
+    /// Takes in that a deciding node has asked this one to yield.
+    pub fn note_asked(&self, token: u64) {
+        let mut inner = self.lock();
+        inner.asked_token = inner.asked_token.max(token);
+    }
+
+    /// The token of the newest succession that its deciding node has asked this one to yield to.
+    pub fn asked_token(&self) -> u64 {
+        self.lock().asked_token
+    }
+
+    /// Whether this node's order of a successor is under way: until it has its answer, this node
+    /// must not yield to another decision.
+    pub fn is_ordering(&self) -> bool {
+        self.lock().ordering
+    }
+
+    /// Notes that an order is about to be sent, until the result is dropped.
+    pub fn start_ordering(&self) -> Ordering<'_> {
+        self.lock().ordering = true;
+        Ordering(self)
+    }
+
     /// Takes in that a server accepted a message which only the lead accepts.
     pub fn note_proof(&self, server: &Server, sent_at: Timestamp, position: Option<Position>) {
         let position = position.unwrap_or(Position::ZERO);
@@ -265,6 +328,26 @@
     }
 }
 
+impl GroupInner {
+    fn token(&self) -> u64 {
+        self.succession.as_ref().map_or(0, |newest| newest.token)
+    }
+
+    fn is_successor(&self, instance: &str) -> bool {
+        let newest = self.succession.as_ref();
+        newest.is_none_or(|newest| newest.successor == instance)
+    }
+}
+
+/// An order that is under way; it has its answer when this is dropped.
+pub struct Ordering<'a>(&'a Group);
+
+impl Drop for Ordering<'_> {
+    fn drop(&mut self) {
+        self.0.lock().ordering = false;
+    }
+}
+
 /// The turn to ask for a proof; ends when dropped.
 pub struct Proving<'a>(&'a Group);
 
--- a/crates/spurpier-pipeline/src/homes.rs
+++ b/crates/spurpier-pipeline/src/homes.rs
@@ -3,11 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use nanoserde::{DeBin, DeBinErr, SerBin};
 use spurpier_core::homes::subject_digest;
-use spurpier_core::lead::{Distance, RankedNode, homes_per_zone, rank_homes};
+use spurpier_core::lead::{
+    Distance, LEASE_MARGIN, LONGEST_LEASE, RankedNode, homes_per_zone, rank_homes,
+};
 use spurpier_core::membership::NodeKey;
+use spurpier_core::time::Timestamp;
 use spurpier_core::wire::{decode_address, decode_text, encode_address, encode_text};
 
 use crate::settings::PipelineSettings;
@@ -24,6 +28,8 @@
     pub zone: String,
     /// How much it can do beside the others.
     pub weight: f64,
+    /// Whether it is about to end: it is given no work, but may still do what it has.
+    pub leaving: bool,
 }
 
 /// An entry as the store lists it.
@@ -42,6 +48,7 @@
             address: settings.listen.internal,
             zone: settings.node.zone.clone(),
             weight: settings.node.weight,
+            leaving: false,
         }
     }
 }
@@ -51,6 +58,7 @@
         encode_address(self.address, output);
         encode_text(&self.zone, output);
         self.weight.ser_bin(output);
+        self.leaving.ser_bin(output);
     }
 }
 
@@ -60,6 +68,7 @@
             address: decode_address(offset, bytes)?,
             zone: decode_text(offset, bytes)?.to_owned(),
             weight: f64::de_bin(offset, bytes)?,
+            leaving: bool::de_bin(offset, bytes)?,
         })
     }
 }
@@ -106,8 +115,32 @@
     ranked: HashMap<String, (usize, Arc<ChosenNodes>)>,
     /// The nodes that follow the store.
     watchers: Option<Arc<ChosenNodes>>,
+    /// Nodes that were taken off the list although they did not leave, and when that was seen.
+    taken_off: BTreeMap<String, (SocketAddr, Timestamp)>,
 }
 
+impl Inner {
+    /// Remembers the nodes that a change takes off the list without their own doing.
+    fn note_taken_off(&mut self, before: &BTreeMap<String, ListedNode>, now: Timestamp) {
+        let Some(nodes) = &self.nodes else {
+            return;
+        };
+        let missing = before
+            .iter()
+            .filter(|(name, node)| !nodes.contains_key(*name) && !node.entry.leaving);
+        for (name, node) in missing {
+            self.taken_off
+                .insert(name.clone(), (node.entry.address, now));
+        }
+        let listed = |name: &String| nodes.contains_key(name);
+        self.taken_off
+            .retain(|name, (_, since)| !listed(name) && now.since(*since) < LEASES_END);
+    }
+}
+
+/// After so long a node that was taken off the list cannot use a lead any more.
+const LEASES_END: Duration = LONGEST_LEASE.saturating_add(LEASE_MARGIN);
+
 /// The nodes that are listed, and the homes of groups.
 #[derive(Debug)]
 pub struct Homes {
@@ -144,9 +177,11 @@
     }
 
     /// Changes the listed nodes.
-    pub fn update(&self, change: impl FnOnce(&mut BTreeMap<String, ListedNode>)) {
+    pub fn update(&self, now: Timestamp, change: impl FnOnce(&mut BTreeMap<String, ListedNode>)) {
         let mut inner = self.lock();
+        let before = inner.nodes.clone().unwrap_or_default();
         change(inner.nodes.get_or_insert_default());
+        inner.note_taken_off(&before, now);
         inner.ranked.clear();
         inner.watchers = None;
     }
@@ -158,6 +193,32 @@
         Some(node.entry.address)
     }
 
+    /// Whether this node itself is listed.
+    pub fn lists_self(&self) -> bool {
+        let inner = self.lock();
+        let nodes = inner.nodes.as_ref();
+        nodes.is_some_and(|nodes| nodes.contains_key(&self.own_name))
+    }
+
+    /// All other nodes that may use a lead: those that are listed, also while they leave, and those
+    /// that were taken off the list a short time ago.
+    pub fn lead_users(&self, now: Timestamp) -> Vec<PeerNode> {
+        let inner = self.lock();
+        let listed = inner.nodes.iter().flatten();
+        let listed = listed.map(|(name, node)| (name, node.entry.address));
+        let taken_off = inner.taken_off.iter();
+        let taken_off = taken_off.filter(|(_, (_, since))| now.since(*since) < LEASES_END);
+        let taken_off = taken_off.map(|(name, (address, _))| (name, *address));
+        let users = listed.chain(taken_off);
+        users
+            .filter(|(name, _)| **name != self.own_name)
+            .map(|(name, address)| PeerNode {
+                name: name.clone(),
+                address,
+            })
+            .collect()
+    }
+
     /// The name of the listed node at an address, and the version of its row.
     pub fn listed_at(&self, address: SocketAddr) -> Option<(String, u64)> {
         let inner = self.lock();
@@ -178,7 +239,9 @@
             return Arc::new(ChosenNodes::unknown());
         };
         let per_zone = |nodes, zones| homes_per_zone(connections, nodes, zones);
-        let homes = Arc::new(self.choose(nodes, group, per_zone));
+        // A node that leaves goes on with what it has.
+        let counts = |name: &str, node: &NodeEntry| !node.leaving || name == self.own_name;
+        let homes = Arc::new(self.choose(nodes, counts, group, per_zone));
         let known = (connections, Arc::clone(&homes));
         inner.ranked.insert(group.to_owned(), known);
         homes
@@ -193,25 +256,27 @@
         let Some(nodes) = &inner.nodes else {
             return Arc::new(ChosenNodes::unknown());
         };
-        let watchers = Arc::new(self.choose(nodes, WATCHED_SUBJECT, watchers_per_zone));
+        let counts = |_: &str, node: &NodeEntry| !node.leaving;
+        let watchers = self.choose(nodes, counts, WATCHED_SUBJECT, watchers_per_zone);
+        let watchers = Arc::new(watchers);
         inner.watchers = Some(Arc::clone(&watchers));
         watchers
     }
 
-    /// Chooses the first-ranked nodes of each zone; `per_zone` gives how many, for so many nodes
-    /// in so many zones.
+    /// Chooses the first-ranked nodes of each zone among those that count; `per_zone` gives how
+    /// many, for so many nodes in so many zones.
     fn choose(
         &self,
         listed: &BTreeMap<String, ListedNode>,
+        counts: impl Fn(&str, &NodeEntry) -> bool,
         subject: &str,
         per_zone: impl FnOnce(usize, usize) -> usize,
     ) -> ChosenNodes {
-        // This node counts itself also while its entry is not listed yet.
-        let mut nodes: BTreeMap<&str, &NodeEntry> = listed
+        let nodes: BTreeMap<&str, &NodeEntry> = listed
             .iter()
             .map(|(name, node)| (name.as_str(), &node.entry))
+            .filter(|(name, entry)| counts(name, entry))
             .collect();
-        nodes.insert(&self.own_name, &self.own);
         let zones: BTreeSet<&str> = nodes.values().map(|node| node.zone.as_str()).collect();
         let per_zone = per_zone(nodes.len(), zones.len());
         let mut chosen = Vec::new();
--- a/crates/spurpier-pipeline/src/known_tables.rs
+++ b/crates/spurpier-pipeline/src/known_tables.rs
@@ -20,7 +20,7 @@
 const REMEMBERED: usize = 1_024;
 
 /// The tables that nodes follow, by the number that messages carry.
-const FOLLOWED: [Table; 3] = [Table::Configuration, Table::Servers, Table::Nodes];
+const FOLLOWED: [Table; 3] = [Table::Configuration, Table::Servers, Table::Cluster];
 
 /// The number by which messages name a table; none if nodes do not tell each other of it.
 pub fn table_number(table: Table) -> Option<u8> {
@@ -107,6 +107,36 @@
 }
 
 impl KnownTable {
+    /// Takes in the whole table as of a version, but for newer rows that were told ahead of it.
+    /// Tells whether that changes anything.
+    fn replace_rows(&mut self, rows: &[Row], version: u64) -> bool {
+        let ahead = self.rows.values().filter(|row| row.version > version);
+        let mut replaced: BTreeMap<String, Row> =
+            ahead.map(|row| (row.key.clone(), row.clone())).collect();
+        for row in rows {
+            let key = row.key.clone();
+            replaced.entry(key).or_insert_with(|| row.clone());
+        }
+        // The first time, also of an empty table, counts as a change.
+        let has_changed = self.changes == 0 || replaced != self.rows;
+        self.rows = replaced;
+        has_changed
+    }
+
+    /// Takes in a changed row, unless a newer one is known.
+    fn take(&mut self, row: &Row) {
+        let known = self.rows.get(&row.key);
+        if known.is_some_and(|known| known.version > row.version) {
+            return;
+        }
+        if row.gone {
+            self.rows.remove(&row.key);
+        } else {
+            self.rows.insert(row.key.clone(), row.clone());
+        }
+        self.remember(row);
+    }
+
     fn remember(&mut self, row: &Row) {
         self.changes += 1;
         self.remembered.push_back(row.clone());
@@ -146,10 +176,12 @@
     /// Takes in a whole table, as the store told it at `told_at`.
     pub fn replace(&self, table: Table, rows: &[Row], version: u64, told_at: Timestamp) {
         self.update(table, |known| {
-            let rows = rows.iter().map(|row| (row.key.clone(), row.clone()));
-            known.rows = rows.collect();
-            known.version = version;
-            known.told_at = Some(told_at);
+            known.told_at = known.told_at.max(Some(told_at));
+            known.version = known.version.max(version);
+            if !known.replace_rows(rows, version) {
+                // Two nodes that follow each other would go on telling each other all of it.
+                return;
+            }
             // Those that follow must be told the whole table: a change of which none remembers.
             known.changes += 1;
             known.remembered.clear();
@@ -160,18 +192,24 @@
     pub fn change(&self, table: Table, rows: &[Row], version: u64, told_at: Timestamp) {
         self.update(table, |known| {
             for row in rows {
-                if row.gone {
-                    known.rows.remove(&row.key);
-                } else {
-                    known.rows.insert(row.key.clone(), row.clone());
-                }
-                known.remember(row);
+                known.take(row);
             }
             known.version = known.version.max(version);
             known.told_at = known.told_at.max(Some(told_at));
         });
     }
 
+    /// Takes in a row that another node has told ahead of the table's other changes.
+    pub fn insert(&self, table: Table, row: &Row) {
+        self.update(table, |known| known.take(row));
+    }
+
+    /// Up to when the store has told of a table, on this node's clock; none before it did.
+    pub fn told_at(&self, table: Table) -> Option<Timestamp> {
+        let number = table_number(table)?;
+        self.lock()[usize::from(number)].told_at
+    }
+
     fn update(&self, table: Table, change: impl FnOnce(&mut KnownTable)) {
         let Some(number) = table_number(table) else {
             return;
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -22,14 +22,14 @@
 use crate::directory::{
     ConfigurationSink, ServerSink, close_unused, forget_gone, share_after_start,
 };
-use crate::duty::{Peers, watch_groups};
+use crate::duty::{Peers, renew_lease, watch_groups};
 use crate::events;
 use crate::follow::follow;
 use crate::forward::{self, Links, LostNodes};
 use crate::homes::Homes;
 use crate::known_tables::KnownTables;
 use crate::log_budget::LogBudget;
-use crate::membership::{NodeSink, list_self, unlist_lost, unlist_self};
+use crate::membership::{ClusterSink, list_leaving, list_self, unlist_lost, unlist_self};
 use crate::metrics::Metrics;
 use crate::ports::{
     ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
@@ -186,6 +186,8 @@
             groups: Mutex::default(),
             links,
             store_lost: AtomicBool::new(false),
+            lease_confirmed_at: Mutex::default(),
+            newest_token: AtomicU64::new(0),
             directory_known: watch::Sender::new(false),
             known_tables: KnownTables::new(rand::rng().random()),
             metrics: Metrics::default(),
@@ -206,7 +208,7 @@
     tokio::spawn(follow(shared(), Table::Configuration, configuration));
     let servers = ServerSink::new(shared());
     tokio::spawn(follow(shared(), Table::Servers, servers));
-    tokio::spawn(follow(shared(), Table::Nodes, NodeSink::new(shared())));
+    tokio::spawn(follow(shared(), Table::Cluster, ClusterSink::new(shared())));
     tokio::spawn(forget_gone(shared()));
     tokio::spawn(share_after_start(shared()));
     tokio::spawn(close_unused(shared()));
@@ -217,6 +219,7 @@
     let (sender, wanted) = mpsc::channel(WANTED_CAPACITY);
     let peers = Peers::new(Arc::clone(context), socket, sender);
     tokio::spawn(Arc::clone(&peers).receive());
+    tokio::spawn(renew_lease(Arc::clone(context), Arc::clone(&peers)));
     tokio::spawn(watch_groups(Arc::clone(context), peers, wanted));
 }
 
@@ -242,7 +245,7 @@
     context.draining.cancel();
     // Other nodes take it out of the homes, and go on being served until they have.
     let leaving = Arc::clone(context);
-    tokio::spawn(async move { unlist_self(&leaving).await });
+    tokio::spawn(async move { list_leaving(&leaving).await });
     let started = Instant::now();
     let grace = Duration::from_millis(context.settings.bounds.grace_ms);
     let accept_on = ACCEPT_ON.min(grace * 2 / 5);
@@ -261,5 +264,7 @@
         // Work that is still open then is cut by the end of the process.
         let _ = timeout_at(started + grace * 9 / 10, work_ends()).await;
     }
+    // From here on it uses no lead any more.
+    unlist_self(context).await;
     log_event!(events::NODE_DRAINED, cut = sessions.len());
 }
--- a/crates/spurpier-pipeline/src/ports/mod.rs
+++ b/crates/spurpier-pipeline/src/ports/mod.rs
@@ -21,5 +21,5 @@
     Answer, Completion, Effect, ErrorClass, Request, ServerError, Statement, TransactionState,
 };
 pub use store::{
-    MetadataStore, ReadRows, Row, StoreError, Table, TransactOutcome, Transaction, Write,
+    Condition, MetadataStore, ReadRows, Row, StoreError, Table, TransactOutcome, Transaction, Write,
 };
--- a/crates/spurpier-pipeline/src/ports/store.rs
+++ b/crates/spurpier-pipeline/src/ports/store.rs
@@ -13,9 +13,9 @@
     Configuration,
     /// The servers' entries.
     Servers,
-    /// The nodes' entries.
-    Nodes,
-    /// The holder of the promotion duty.
+    /// The nodes' entries, and the newest succession of each group.
+    Cluster,
+    /// The holder of the promotion duty, and the nodes that have yielded to a decision.
     Duty,
 }
 
@@ -39,6 +39,8 @@
     pub rows: Vec<Row>,
     /// The store's newest version at that moment.
     pub version: u64,
+    /// That moment on the store's steady clock; none if the store does not tell it.
+    pub now: Option<Duration>,
 }
 
 /// One change of a transaction.
@@ -46,6 +48,8 @@
 pub enum Write {
     /// Puts a row.
     Put {
+        /// Its table.
+        table: Table,
         /// Its key.
         key: String,
         /// Its value.
@@ -53,18 +57,29 @@
     },
     /// Removes a row.
     Remove {
+        /// Its table.
+        table: Table,
         /// Its key.
         key: String,
     },
 }
 
-/// Changes of one table, made together under conditions.
+/// What a row must be for a transaction to be made.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Transaction {
-    /// The table.
+pub struct Condition {
+    /// Its table.
     pub table: Table,
-    /// Keys and the versions that they must have; 0 means that there must be no such row.
-    pub conditions: Vec<(String, u64)>,
+    /// Its key.
+    pub key: String,
+    /// Its version; 0 means that there must be no such row.
+    pub version: u64,
+}
+
+/// Changes of any tables, made together under conditions.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Transaction {
+    /// The conditions.
+    pub conditions: Vec<Condition>,
     /// The changes.
     pub writes: Vec<Write>,
 }
--- a/crates/spurpier-pipeline/src/unit/lead.rs
+++ b/crates/spurpier-pipeline/src/unit/lead.rs
@@ -39,7 +39,9 @@
     let mut changes = group.changes();
     loop {
         changes.borrow_and_update();
-        let candidate = group.lead_candidate(clock.now(), context.leaving_use());
+        let candidate = group
+            .lead_candidate(clock.now(), context.leaving_use())
+            .filter(|_| context.holds_lease());
         let mut missing = NotRun::NoLead;
         if let Some(server) = candidate.filter(|server| answers(server, clock.now())) {
             match server.pool.acquire(values, until).await {
@@ -85,7 +87,8 @@
         let (place, result) = own_attempt(clock, place, ServerRequest::Begin, limit).await;
         let reason = match (place, result) {
             (Some(place), Ok(answered)) if answered.answer.outcome.is_ok() => {
-                if answered.answer.state == TransactionState::Open {
+                let may_lead = context.may_lead(group, &server);
+                if may_lead && answered.answer.state == TransactionState::Open {
                     let position = answered.answer.position;
                     group.note_proof(&server, answered.sent_at, position);
                     let position = position.unwrap_or(Position::ZERO);
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -130,10 +130,17 @@
         {
             return Some(relay);
         }
+        let homes = self.context.homes_of(&self.group.name);
+        if !self.context.holds_lease() {
+            // What needs the lead, or a proof of it, cannot be done here.
+            let mut others = homes.others.iter();
+            return others
+                .find(|home| self.context.links.is_usable(home.address))
+                .cloned();
+        }
         if !self.is_crowded(effect) {
             return None;
         }
-        let homes = self.context.homes_of(&self.group.name);
         let near = homes.others.iter().take(homes.near);
         let usable = near.filter(|home| self.context.links.is_usable(home.address));
         usable.choose(&mut rand::rng()).cloned()
--- a/crates/spurpier-pipeline/src/unit/transaction.rs
+++ b/crates/spurpier-pipeline/src/unit/transaction.rs
@@ -104,6 +104,14 @@
         let manner = Manner::Alone(None);
         let (_, result) = unit.attempt(place, work, manner, unit.times.give_up).await;
         match result {
+            Ok(Answered { answer, .. })
+                if answer.outcome.is_ok()
+                    && self.wrote
+                    && !unit.context.may_lead(&unit.group, &server) =>
+            {
+                let doubt = unit.doubt(&work.id, ErrorClass::InDoubt, &server.instance);
+                Done::answer(doubt)
+            }
             Ok(Answered { answer, sent_at }) => {
                 let mut committed = None;
                 if answer.outcome.is_ok() && self.wrote {
--- a/crates/spurpier-pipeline/src/unit/write.rs
+++ b/crates/spurpier-pipeline/src/unit/write.rs
@@ -26,6 +26,10 @@
             let (_, result) = self.attempt(place, work, manner, self.times.give_up).await;
             let class = match result {
                 Ok(Answered { answer, sent_at }) => match answer.error_class() {
+                    None if !self.context.may_lead(&self.group, &server) => {
+                        let doubt = self.doubt(&work.id, ErrorClass::InDoubt, &server.instance);
+                        return Done::answer(doubt);
+                    }
                     None => {
                         self.group.note_proof(&server, sent_at, answer.position);
                         let committed = answer.position;
