--- a/crates/spurpier-core/src/lead/choice.rs
+++ b/crates/spurpier-core/src/lead/choice.rs
@@ -41,8 +41,8 @@
     pub in_flight: usize,
     /// Requests that it runs at the same time.
     pub slots: usize,
-    /// The newest position that it was seen to show, and when.
-    pub shown: Option<(Position, Timestamp)>,
+    /// What it was last seen to show.
+    pub shown: Option<Shown>,
     /// Until when it is passed over, after it was found full or silent.
     pub avoided_until: Timestamp,
     /// Whether it may take reads at all.
@@ -51,17 +51,38 @@
     pub leads: bool,
 }
 
-/// How long a position stays a sign that a replica is behind.
-const SHOWN_VALIDITY: Duration = Duration::from_millis(60);
+/// What a server was last seen to show of the group's log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shown {
+    /// The position.
+    pub position: Position,
+    /// When its answer was taken in.
+    pub at: Timestamp,
+    /// For how long the lead had held more then, as far as was known.
+    pub lag: Duration,
+}
+
+impl Shown {
+    /// How long the position stays a sign that a replica is behind: the farther behind it is, the
+    /// longer it takes to catch up.
+    fn validity(&self) -> Duration {
+        (self.lag / LAG_PARTS).clamp(SHORTEST_VALIDITY, LONGEST_VALIDITY)
+    }
+}
+
+/// The part of a replica's lag for which it is taken to stay behind.
+const LAG_PARTS: u32 = 8;
+/// The bounds of that time.
+const SHORTEST_VALIDITY: Duration = Duration::from_millis(60);
+const LONGEST_VALIDITY: Duration = Duration::from_millis(1_000);
 /// What is added for a server that was just found behind, so that it is tried last.
 const BEHIND_PENALTY: Duration = Duration::from_millis(400);
 
 impl ServerLoad {
     fn is_behind(&self, floor: Position, now: Timestamp) -> bool {
-        !self.leads
-            && self
-                .shown
-                .is_some_and(|(shown, at)| shown < floor && now.since(at) < SHOWN_VALIDITY)
+        let is_sign =
+            |shown: Shown| shown.position < floor && now.since(shown.at) < shown.validity();
+        !self.leads && self.shown.is_some_and(is_sign)
     }
 
     fn cost(&self, floor: Position, now: Timestamp) -> Duration {
--- a/crates/spurpier-core/src/lead/evidence.rs
+++ b/crates/spurpier-core/src/lead/evidence.rs
@@ -62,6 +62,13 @@
         self.proofs.get(index).copied()
     }
 
+    /// For how long the lead has held more than this position, as far as is known; zero if nothing
+    /// newer is known.
+    pub fn lag_behind(&self, position: Position, now: Timestamp) -> Duration {
+        let beyond = self.proofs.iter().find(|proof| proof.position > position);
+        beyond.map_or(Duration::ZERO, |proof| now.since(proof.sent_at))
+    }
+
     /// The proof whose message left last.
     pub fn newest(&self) -> Option<Proof> {
         self.proofs.back().copied()
--- a/crates/spurpier-core/src/lead/mod.rs
+++ b/crates/spurpier-core/src/lead/mod.rs
@@ -15,7 +15,7 @@
 mod lease;
 
 pub use candidate::{LeadCandidate, choose_lead};
-pub use choice::{Distance, ServerLoad, choose_read_server};
+pub use choice::{Distance, ServerLoad, Shown, choose_read_server};
 pub use duty::{DutyRow, DutyStep, HolderRecord, next_step};
 pub use evidence::{LeadEvidence, OwnCommit, Proof, read_floor};
 pub use failover::{Candidate, Missing, Sight, Verdict, choose_successor, judge};
--- a/crates/spurpier-core/tests/lead.rs
+++ b/crates/spurpier-core/tests/lead.rs
@@ -5,8 +5,9 @@
 use spurpier_core::homes::subject_digest;
 use spurpier_core::lead::{
     Candidate, Distance, DutyRow, DutyStep, HolderRecord, LONGEST_LEASE, LeadCandidate,
-    LeadEvidence, Missing, OwnCommit, Proof, RankedNode, ServerLoad, Sight, Verdict, choose_lead,
-    choose_read_server, choose_successor, homes_per_zone, judge, next_step, rank_homes, read_floor,
+    LeadEvidence, Missing, OwnCommit, Proof, RankedNode, ServerLoad, Shown, Sight, Verdict,
+    choose_lead, choose_read_server, choose_successor, homes_per_zone, judge, next_step,
+    rank_homes, read_floor,
 };
 use spurpier_core::membership::NodeKey;
 use spurpier_core::position::Position;
@@ -154,14 +155,47 @@
     assert_eq!(chosen(&[silent, load(Distance::Remote)], &[]), Some(1));
     assert_eq!(chosen(&[silent], &[]), Some(0), "there is no other");
     let mut lagging = load(Distance::Zone);
-    lagging.shown = Some((Position::new(1, 9), at(990)));
+    let shown = |at_ms, lag_ms| {
+        Some(Shown {
+            position: Position::new(1, 9),
+            at: at(at_ms),
+            lag: Duration::from_millis(lag_ms),
+        })
+    };
+    lagging.shown = shown(990, 0);
     assert_eq!(chosen(&[lagging, load(Distance::Remote)], &[]), Some(1));
-    lagging.shown = Some((Position::new(1, 9), at(500)));
+    lagging.shown = shown(500, 60);
     assert_eq!(
         chosen(&[lagging, load(Distance::Remote)], &[]),
         Some(0),
         "it may have caught up since"
     );
+    lagging.shown = shown(500, 8_000);
+    assert_eq!(
+        chosen(&[lagging, load(Distance::Remote)], &[]),
+        Some(1),
+        "it was far behind"
+    );
+}
+
+#[test]
+fn a_replicas_lag_is_the_time_for_which_the_lead_has_held_more() {
+    let mut evidence = LeadEvidence::default();
+    let now = at(9_000);
+    assert_eq!(
+        evidence.lag_behind(Position::new(1, 5), now),
+        Duration::ZERO
+    );
+    evidence.record(proof(1_000, 1, 5));
+    evidence.record(proof(4_000, 1, 8));
+    evidence.record(proof(6_000, 1, 8));
+    evidence.record(proof(8_500, 1, 12));
+    let lag = |offset| {
+        evidence
+            .lag_behind(Position::new(1, offset), now)
+            .as_millis()
+    };
+    assert_eq!([lag(4), lag(5), lag(8), lag(12)], [8_000, 5_000, 500, 0]);
 }
 
 const PATIENCE: Duration = Duration::from_millis(450);
--- a/crates/spurpier-pipeline/src/group.rs
+++ b/crates/spurpier-pipeline/src/group.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use spurpier_core::lead::{
-    LeadCandidate, LeadEvidence, OwnCommit, Proof, Succession, choose_lead, read_floor,
+    LeadCandidate, LeadEvidence, OwnCommit, Proof, Shown, Succession, choose_lead, read_floor,
 };
 use spurpier_core::position::Position;
 use spurpier_core::time::Timestamp;
@@ -245,6 +245,16 @@
         self.lock().own_proof
     }
 
+    /// Takes in the position that a server has shown.
+    pub fn note_shown(&self, server: &Server, position: Position, now: Timestamp) {
+        let lag = self.lock().evidence.lag_behind(position, now);
+        server.health().shown = Some(Shown {
+            position,
+            at: now,
+            lag,
+        });
+    }
+
     /// Takes in that a server refused as one that does not lead.
     pub fn note_denial(&self, server: &Server, now: Timestamp) {
         let lost = {
--- a/crates/spurpier-pipeline/src/server/health.rs
+++ b/crates/spurpier-pipeline/src/server/health.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use spurpier_core::position::Position;
+use spurpier_core::lead::Shown;
 use spurpier_core::time::Timestamp;
 
 /// The weight of the newest answer's time, in sixteenths.
@@ -22,8 +22,8 @@
     pub answer_time: Duration,
     /// Requests that run on it or wait for a connection to it.
     pub in_flight: usize,
-    /// The newest position that it was seen to show, and when.
-    pub shown: Option<(Position, Timestamp)>,
+    /// What it was last seen to show of the group's log.
+    pub shown: Option<Shown>,
     /// Until when it is passed over.
     pub avoided_until: Timestamp,
     /// When the newest message left that it has answered.
@@ -50,13 +50,10 @@
 
 impl Health {
     /// Takes in an answer to a message that left at `sent_at`.
-    pub fn note_answer(&mut self, sent_at: Timestamp, now: Timestamp, shown: Option<Position>) {
+    pub fn note_answer(&mut self, sent_at: Timestamp) {
         self.answered_at = self.answered_at.max(Some(sent_at));
         self.silent_since = None;
         self.silences = 0;
-        if let Some(position) = shown {
-            self.shown = Some((position, now));
-        }
     }
 
     /// Whether it has left several messages in a row unanswered.
@@ -64,7 +61,7 @@
         self.silences >= SILENT_AFTER
     }
 
-    /// Takes in how long a read took.
+    /// Takes in how long a statement took that was run.
     pub fn note_time(&mut self, taken: Duration) {
         let kept = self.answer_time * (16 - NEWEST_WEIGHT) / 16;
         self.answer_time = kept + taken * NEWEST_WEIGHT / 16;
--- a/crates/spurpier-pipeline/src/server/mod.rs
+++ b/crates/spurpier-pipeline/src/server/mod.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use spurpier_core::lead::{Distance, ServerLoad};
-use spurpier_core::position::Position;
 use spurpier_core::time::Timestamp;
 
 pub use self::connection::{ExchangeError, OpenError, ServerConnection, Values};
@@ -108,10 +107,9 @@
         }
     }
 
-    /// Takes in a whole answer and the position behind it.
-    pub fn note_answer(&self, clock: &Clock, sent_at: Timestamp, shown: Option<Position>) {
-        let now = clock.now();
-        self.health().note_answer(sent_at, now, shown);
+    /// Takes in a whole answer to a message that left at `sent_at`.
+    pub fn note_answer(&self, sent_at: Timestamp) {
+        self.health().note_answer(sent_at);
     }
 
     /// Takes in that it did not answer.
--- a/crates/spurpier-pipeline/src/unit/attempt.rs
+++ b/crates/spurpier-pipeline/src/unit/attempt.rs
@@ -124,10 +124,15 @@
         };
         match within(&clock, until, exchange).await {
             Some((place, Ok(answered))) => {
-                let shown = answered.answer.position;
-                server.note_answer(&clock, answered.sent_at, shown);
-                let mut health = server.health();
-                health.note_time(clock.now().since(started));
+                server.note_answer(answered.sent_at);
+                let now = clock.now();
+                if let Some(position) = answered.answer.position {
+                    self.group.note_shown(&server, position, now);
+                }
+                if answered.answer.outcome.is_ok() {
+                    // A refusal is fast and says nothing of the server's work.
+                    server.health().note_time(now.since(started));
+                }
                 (Some(place), Ok(answered))
             }
             Some((place, Err(failure))) => {
@@ -262,7 +267,7 @@
     };
     match within(clock, until, exchange).await {
         Some((place, Ok(answer))) => {
-            server.note_answer(clock, sent_at, answer.position);
+            server.note_answer(sent_at);
             (Some(place), Ok(Answered { answer, sent_at }))
         }
         Some((_, Err(failure))) => {
