--- a/crates/spurpier-pipeline/src/homes.rs
+++ b/crates/spurpier-pipeline/src/homes.rs
@@ -80,6 +80,8 @@
     pub name: String,
     /// Where it is reached.
     pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
 }
 
 /// The nodes that were chosen, as homes of a group or as watchers, as one node sees them.
@@ -116,7 +118,7 @@
     /// The nodes that follow the store.
     watchers: Option<Arc<ChosenNodes>>,
     /// Nodes that were taken off the list although they did not leave, and when that was seen.
-    taken_off: BTreeMap<String, (SocketAddr, Timestamp)>,
+    taken_off: BTreeMap<String, (NodeEntry, Timestamp)>,
 }
 
 impl Inner {
@@ -129,8 +131,8 @@
             .iter()
             .filter(|(name, node)| !nodes.contains_key(*name) && !node.entry.leaving);
         for (name, node) in missing {
-            self.taken_off
-                .insert(name.clone(), (node.entry.address, now));
+            let known = (node.entry.clone(), now);
+            self.taken_off.insert(name.clone(), known);
         }
         let listed = |name: &String| nodes.contains_key(name);
         self.taken_off
@@ -205,17 +207,14 @@
     pub fn lead_users(&self, now: Timestamp) -> Vec<PeerNode> {
         let inner = self.lock();
         let listed = inner.nodes.iter().flatten();
-        let listed = listed.map(|(name, node)| (name, node.entry.address));
+        let listed = listed.map(|(name, node)| (name, &node.entry));
         let taken_off = inner.taken_off.iter();
         let taken_off = taken_off.filter(|(_, (_, since))| now.since(*since) < LEASES_END);
-        let taken_off = taken_off.map(|(name, (address, _))| (name, *address));
+        let taken_off = taken_off.map(|(name, (entry, _))| (name, entry));
         let users = listed.chain(taken_off);
         users
             .filter(|(name, _)| **name != self.own_name)
-            .map(|(name, address)| PeerNode {
-                name: name.clone(),
-                address,
-            })
+            .map(|(name, entry)| peer_node(name, entry))
             .collect()
     }
 
@@ -289,7 +288,7 @@
             let order = rank_homes(subject, &ranked).into_iter().take(per_zone);
             chosen.extend(order.map(|index| {
                 let (name, node) = members[index];
-                (self.distance(&node.zone), *name, node.address)
+                (self.distance(&node.zone), *name, *node)
             }));
         }
         // Stable: nodes at the same distance stay in the order of their zones and ranks.
@@ -301,10 +300,7 @@
             count: chosen.len(),
             near: near.count(),
             others: others()
-                .map(|(_, name, address)| PeerNode {
-                    name: (*name).to_owned(),
-                    address: *address,
-                })
+                .map(|(_, name, node)| peer_node(name, node))
                 .collect(),
         }
     }
@@ -327,6 +323,14 @@
     }
 }
 
+fn peer_node(name: &str, entry: &NodeEntry) -> PeerNode {
+    PeerNode {
+        name: name.to_owned(),
+        address: entry.address,
+        zone: entry.zone.clone(),
+    }
+}
+
 fn ranked_node(name: &str, node: &NodeEntry) -> RankedNode {
     RankedNode {
         key: NodeKey(subject_digest(name)),
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 
 use rand::seq::IteratorRandom;
-use spurpier_core::lead::OwnCommit;
+use spurpier_core::lead::{Distance, OwnCommit};
 use spurpier_core::position::Position;
 use spurpier_events::{Event, log_event};
 
@@ -32,7 +32,7 @@
 use crate::group::Group;
 use crate::homes::PeerNode;
 use crate::ports::{Answer, Effect, ErrorClass, FreshnessKind, Route, TransactionState};
-use crate::server::Values;
+use crate::server::{Server, Values};
 
 /// What a unit knows of its session and its route.
 pub struct Unit {
@@ -123,7 +123,8 @@
     }
 
     /// The home that runs such a statement in the place of this one: one that is known to reach
-    /// the lead if this one does not, or one nearby while units wait here for connections.
+    /// the lead if this one does not, or while units wait here for connections to the server that
+    /// would run it, one in that server's zone or nearby.
     pub fn better_home(&self, effect: Effect) -> Option<PeerNode> {
         if self.needs_lead(effect)
             && let Some(relay) = self.group.relay(self.context.clock.now())
@@ -131,31 +132,37 @@
             return Some(relay);
         }
         let homes = self.context.homes_of(&self.group.name);
+        let is_usable = |home: &&PeerNode| self.context.links.is_usable(home.address);
         if !self.context.holds_lease() {
             // What needs the lead, or a proof of it, cannot be done here.
-            let mut others = homes.others.iter();
-            return others
-                .find(|home| self.context.links.is_usable(home.address))
-                .cloned();
-        }
-        if !self.is_crowded(effect) {
-            return None;
+            return homes.others.iter().find(is_usable).cloned();
         }
+        let crowded = self.crowded_server(effect)?;
         let near = homes.others.iter().take(homes.near);
-        let usable = near.filter(|home| self.context.links.is_usable(home.address));
-        usable.choose(&mut rand::rng()).cloned()
+        if crowded.distance == Distance::Zone {
+            return near.filter(is_usable).choose(&mut rand::rng()).cloned();
+        }
+        // Its connections are held for the way to the server and back only once, there or here.
+        let zone = crowded.listing().entry.zone.clone();
+        let there = homes.others.iter().filter(|home| home.zone == zone);
+        let there = there.filter(is_usable).choose(&mut rand::rng());
+        there
+            .or_else(|| near.filter(is_usable).choose(&mut rand::rng()))
+            .cloned()
     }
 
-    /// Whether the server that would run such a statement has no connection free for this node.
-    fn is_crowded(&self, effect: Effect) -> bool {
+    /// The server that would run such a statement, if units wait here for connections to it.
+    fn crowded_server(&self, effect: Effect) -> Option<Arc<Server>> {
+        let servers = self.group.servers();
+        if !servers.iter().any(|server| server.pool.is_crowded()) {
+            return None;
+        }
         let server = if self.needs_lead(effect) {
             self.group.lead()
         } else {
-            let servers = self.group.servers().into_iter();
-            let staying = servers.filter(|server| server.is_staying());
-            staying.min_by_key(|server| server.distance)
+            self.likely_reader(&servers)
         };
-        server.is_some_and(|server| server.pool.is_crowded())
+        server.filter(|server| server.pool.is_crowded())
     }
 
     /// Runs a statement outside a transaction on this node's connections.
--- a/crates/spurpier-pipeline/src/unit/read.rs
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -147,6 +147,30 @@
         }
     }
 
+    /// The server that a read would go to first, by what is known now.
+    pub(super) fn likely_reader(&self, servers: &[Arc<Server>]) -> Option<Arc<Server>> {
+        let staleness = self.route.freshness.staleness();
+        let since = self.times.arrived.before(staleness);
+        let floor = self.group.read_floor(since, self.own_commit);
+        let chosen = self.choose_reader(servers, &[], floor.unwrap_or(Position::ZERO));
+        chosen.map(|index| Arc::clone(&servers[index]))
+    }
+
+    fn choose_reader(
+        &self,
+        servers: &[Arc<Server>],
+        excluded: &[usize],
+        floor: Position,
+    ) -> Option<usize> {
+        let lead = self.group.lead().map(|lead| lead.instance.clone());
+        let leads = |server: &Server| lead.as_deref() == Some(server.instance.as_str());
+        let loads: Vec<_> = servers
+            .iter()
+            .map(|server| server.load(leads(server)))
+            .collect();
+        choose_read_server(&loads, excluded, floor, self.context.clock.now())
+    }
+
     /// The position of a proof that covers all that was acknowledged before now.
     async fn newest_floor(&self) -> Result<Position, NotRun> {
         let since = self.context.clock.now();
@@ -198,17 +222,10 @@
     ) -> Result<Option<Place>, NotRun> {
         let clock = &self.context.clock;
         let servers = self.group.servers();
-        let lead = self.group.lead().map(|lead| lead.instance.clone());
-        let leads = |server: &Server| lead.as_deref() == Some(server.instance.as_str());
-        let loads: Vec<_> = servers
-            .iter()
-            .map(|server| server.load(leads(server)))
-            .collect();
         let excluded: Vec<usize> = (0..servers.len())
             .filter(|index| tried.contains(&servers[*index].instance))
             .collect();
-        let chosen = choose_read_server(&loads, &excluded, floor, clock.now());
-        let Some(chosen) = chosen else {
+        let Some(chosen) = self.choose_reader(&servers, &excluded, floor) else {
             return Ok(None);
         };
         let server = Arc::clone(&servers[chosen]);
