Hold leases for ten seconds in place of renewals, and be patient in a split

The side without the primary decided at once, waited 4.9 s for the other side's leases and ordered just before the cut healed; the other side had no majority and stopped after 3 s: nobody served the group. Ruled out: hand-over of crowded homes (the refusals are all no_lead). Change: one lease of 10 s from what the store has told in this life of the node, no renewals, no voters; a primary is not replaced for 8 s while some node does not answer a question for its presence. While all answer, a fail-over waits for nothing but one exchange. A node that does not know the list of nodes yet waits for it before it takes a unit for its own. A price: a primary that crashes while another node is gone for good is replaced after up to 19 s.

--- a/crates/spurpier-core/src/lead/duty.rs
+++ b/crates/spurpier-core/src/lead/duty.rs
@@ -15,8 +15,8 @@
 /// How long a holder may leave a node without an answer before the node takes the duty over.
 const HOLDER_PATIENCE: Duration = Duration::from_millis(900);
 /// How long a holder that answers may leave a group without a new primary.
-/// Longer than a decision waits for the leases that a majority of the voters does not renew.
-const DECISION_PATIENCE: Duration = Duration::from_secs(6);
+/// Longer than a decision waits for the leases of nodes that do not answer.
+const DECISION_PATIENCE: Duration = Duration::from_secs(13);
 
 /// The row of the duty.
 #[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
--- a/crates/spurpier-core/src/lead/failover.rs
+++ b/crates/spurpier-core/src/lead/failover.rs
@@ -2,13 +2,16 @@
 
 use std::time::Duration;
 
-use super::lease::LONGEST_LEASE;
 use crate::position::Position;
 
 /// A proof of lead younger than this says that the primary serves. A node that is asked has the
 /// lead proved anew unless its proof is fresh, so that an older one tells of a failed attempt.
 const PROOF_VALIDITY: Duration = Duration::from_millis(550);
 
+/// For how long a primary is not replaced while some nodes do not answer: most cuts are over by then,
+/// and nodes that died have started again.
+pub const SPLIT_PATIENCE: Duration = Duration::from_secs(8);
+
 /// What one node sees of a group's primary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Sight {
@@ -34,9 +37,8 @@
     pub asked: usize,
     /// Whether any server is listed as primary.
     pub listed: bool,
-    /// Whether this node reaches so many of the voters, itself counted, that the others cannot
-    /// renew their leases without them.
-    pub blocks_renewal: bool,
+    /// Whether all nodes answer that may use the primary.
+    pub reaches_all: bool,
 }
 
 /// What is to be done about a primary that does not answer.
@@ -51,14 +53,14 @@
 /// Judges a missing primary: one node's silence is no proof of a server's end.
 ///
 /// More nodes must miss the primary than see it. A node that hears from none of the others may
-/// be cut off itself; it waits until the directory has dropped the primary as well. A node that
-/// does not reach enough voters waits longer: while the store is away from the others, these may go
-/// on with the primary for [`LONGEST_LEASE`].
+/// be cut off itself; it waits until the directory has dropped the primary as well. While
+/// other nodes do not answer, they may be cut off together with the primary and use it: replacing it
+/// would take it from them as well, so that it is put off for [`SPLIT_PATIENCE`].
 pub fn judge(missing: &Missing, patience: Duration) -> Verdict {
     if missing.missing_for < patience {
         return Verdict::Keep;
     }
-    if !missing.blocks_renewal && missing.missing_for < LONGEST_LEASE {
+    if !missing.reaches_all && missing.missing_for < SPLIT_PATIENCE {
         return Verdict::Keep;
     }
     if missing.peers.is_empty() && missing.asked > 0 {
--- a/crates/spurpier-core/src/lead/mod.rs
+++ b/crates/spurpier-core/src/lead/mod.rs
@@ -18,9 +18,8 @@
 pub use choice::{Distance, ServerLoad, Shown, choose_read_server};
 pub use duty::{DutyRow, DutyStep, HolderRecord, next_step};
 pub use evidence::{LeadEvidence, OwnCommit, Proof, read_floor};
-pub use failover::{Candidate, Missing, Sight, Verdict, choose_successor, judge};
+pub use failover::{Candidate, Missing, SPLIT_PATIENCE, Sight, Verdict, choose_successor, judge};
 pub use homes::{RankedNode, homes_per_zone, rank_homes};
 pub use lease::{
-    LEASE_MARGIN, LONGEST_LEASE, LeaseEvidence, ORDER_WINDOW, RoundState, STORE_LEASE, Succession,
-    YieldRound, blocking, majority,
+    LEASE, LEASE_MARGIN, ORDER_WINDOW, RoundState, Succession, YieldRound, holds_lease,
 };
--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -1,11 +1,11 @@
 //! What all sessions and tasks of a node share.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use spurpier_core::lead::{Distance, LeaseEvidence, Succession};
+use spurpier_core::lead::{Distance, Succession, holds_lease};
 use spurpier_core::retry::{RetryBudget, RetryBudgetSettings};
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
@@ -67,10 +67,6 @@
     pub store_lost: AtomicBool,
     /// When the store last answered again after it had been away from this node.
     pub store_regained_at: Mutex<Option<Timestamp>>,
-    /// When a question left after which the voters renewed this node's lease.
-    pub lease_confirmed_at: Mutex<Option<Timestamp>>,
-    /// The highest token of a succession that this node knows, of whatever group.
-    pub newest_token: AtomicU64,
     /// Whether the servers have been read once.
     pub directory_known: watch::Sender<bool>,
     /// Bounds attempts beyond the first.
@@ -131,20 +127,14 @@
         known.unwrap_or(UNKNOWN_LIMIT) * 9 / 10
     }
 
-    /// What gives this node the lease to use leads.
-    pub fn lease(&self) -> LeaseEvidence {
-        let told_at = self.known_tables.told_at(Table::Cluster);
-        let confirmed_at = self.lease_confirmed_at.lock();
-        LeaseEvidence {
-            // A decision waits only for nodes that are listed.
-            told_at: told_at.filter(|_| self.homes.lists_self()),
-            confirmed_at: *confirmed_at.unwrap_or_else(PoisonError::into_inner),
-        }
-    }
-
-    /// Whether leads may be used at all.
+    /// Whether this node holds the lease to use leads.
+    ///
+    /// What was told in a former life does not count: that one may have yielded to a succession that
+    /// this one does not know. A decision waits only for nodes that are listed.
     pub fn holds_lease(&self) -> bool {
-        self.lease().holds(self.clock.now())
+        let told_at = self.known_tables.told_at(Table::Cluster);
+        let told_at = told_at.filter(|told_at| *told_at > self.clock.started_at());
+        holds_lease(told_at, self.clock.now()) && self.homes.lists_self()
     }
 
     /// Whether a server may be used as its group's lead, and what it answers be believed: no other
@@ -153,32 +143,10 @@
         group.is_successor(&server.instance) && self.holds_lease()
     }
 
-    /// The names of the nodes that renew each other's leases while the store is away.
-    pub fn voters(&self) -> Vec<String> {
-        let voters = self.homes.watchers();
-        let own = voters.is_own.then(|| self.settings.node.name.clone());
-        let others = voters.others.iter().map(|voter| voter.name.clone());
-        others.chain(own).collect()
-    }
-
-    /// The highest token of a succession that this node knows; 0 if it knows none.
-    pub fn newest_token(&self) -> u64 {
-        self.newest_token.load(Ordering::Relaxed)
-    }
-
-    /// The same, as a voter tells it: none before the store has told of the successions in this
-    /// life, since the former one may have yielded to one that this one does not know.
-    pub fn standing(&self) -> Option<u64> {
-        let told_at = self.known_tables.told_at(Table::Cluster)?;
-        (told_at > self.clock.started_at()).then(|| self.newest_token())
-    }
-
     /// Takes in that a server takes over a group; tells whether that is new.
     pub fn take_succession(&self, group: &Group, succession: &Succession) -> bool {
         let is_new = group.take_succession(succession);
         if is_new {
-            self.newest_token
-                .fetch_max(succession.token, Ordering::Relaxed);
             log_event!(
                 events::SUCCESSION_KNOWN,
                 group = group.name,
--- a/crates/spurpier-pipeline/src/duty/messages.rs
+++ b/crates/spurpier-pipeline/src/duty/messages.rs
@@ -54,17 +54,15 @@
         /// The token of the newest succession that the sender of the answer has yielded to.
         token: u64,
     },
-    /// Asks a voter up to which succession it has yielded, of whatever group.
-    AskStanding {
+    /// Asks whether the receiver runs and can be reached.
+    AskPresence {
         /// The question's number.
         number: u64,
     },
-    /// Answers `AskStanding`.
-    Standing {
+    /// Answers `AskPresence`.
+    Present {
         /// The question's number.
         number: u64,
-        /// The highest token that it knows; none if it may have forgotten one at a restart.
-        token: Option<u64>,
     },
     /// Answers `Wanted`: the receiver of it holds the duty and sees to the group.
     Heard {
--- a/crates/spurpier-pipeline/src/duty/mod.rs
+++ b/crates/spurpier-pipeline/src/duty/mod.rs
@@ -3,12 +3,10 @@
 mod holder;
 mod messages;
 mod peers;
-mod renewal;
 mod round;
 mod successor;
 mod watch;
 
 pub use self::peers::Peers;
-pub use self::renewal::renew_lease;
 pub use self::round::yield_by_store;
 pub use self::watch::watch_groups;
--- a/crates/spurpier-pipeline/src/duty/peers.rs
+++ b/crates/spurpier-pipeline/src/duty/peers.rs
@@ -29,8 +29,10 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(420);
 /// How often a question is sent within that time: datagrams are lost now and then.
 const ASK_AGAIN: Duration = Duration::from_millis(140);
+/// How long connecting to a node that does not answer may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Answers of one question that may wait to be read.
-const ANSWER_CAPACITY: usize = 64;
+const ANSWER_CAPACITY: usize = 1_024;
 
 type Answers = mpsc::Receiver<(SocketAddr, PeerMessage)>;
 
@@ -98,15 +100,13 @@
                         .await;
                 }
             }
-            PeerMessage::AskStanding { number } => {
-                let token = self.context.standing();
-                self.send(&PeerMessage::Standing { number, token }, from)
-                    .await;
+            PeerMessage::AskPresence { number } => {
+                self.send(&PeerMessage::Present { number }, from).await;
             }
             PeerMessage::Sight { number, .. }
             | PeerMessage::Heard { number }
             | PeerMessage::Yielded { number, .. }
-            | PeerMessage::Standing { number, .. } => {
+            | PeerMessage::Present { number } => {
                 let awaited = self.awaited.lock().unwrap_or_else(PoisonError::into_inner);
                 if let Some(sender) = awaited.get(&number) {
                     // An answer beyond the capacity is a repeated one.
@@ -152,7 +152,7 @@
             group: group.name.clone(),
         };
         let asked_at = self.context.clock.now();
-        let answers = self.ask(question, &addresses, addresses.len()).await;
+        let answers = self.ask(question, &addresses).await;
         let mut sights = Vec::new();
         let mut relay = None;
         for home in homes {
@@ -189,31 +189,36 @@
             group: group.to_owned(),
         };
         match address {
-            Some(address) => !self.ask(question, &[address], 1).await.is_empty(),
+            Some(address) => !self.ask(question, &[address]).await.is_empty(),
             None => false,
         }
     }
 
-    /// The tokens that the other voters tell, each the highest that it knows, until `enough` have
-    /// told one.
-    pub async fn standings(&self, enough: usize) -> Vec<u64> {
-        let voters = &self.context.homes.watchers().others;
-        let addresses: Vec<SocketAddr> = voters.iter().map(|voter| voter.address).collect();
-        let question = |number| PeerMessage::AskStanding { number };
-        let answers = self.ask(question, &addresses, enough).await;
-        let tokens = answers.values().filter_map(|answer| match answer {
-            PeerMessage::Standing { token, .. } => *token,
-            _ => None,
-        });
-        tokens.collect()
+    /// Whether all other nodes answer that may use a lead. Those that do not are tried on, and taken
+    /// off the list in the end.
+    pub async fn reaches_all(&self) -> bool {
+        let clock = &self.context.clock;
+        let users = self.context.homes.lead_users(clock.now());
+        let addresses: Vec<SocketAddr> = users.iter().map(|user| user.address).collect();
+        let question = |number| PeerMessage::AskPresence { number };
+        let answers = self.ask(question, &addresses).await;
+        for address in &addresses {
+            if !answers.contains_key(address) {
+                let (context, address) = (Arc::clone(&self.context), *address);
+                tokio::spawn(async move {
+                    let until = context.clock.now() + CONNECT_LIMIT;
+                    context.links.link(address, &context.clock, until).await;
+                });
+            }
+        }
+        answers.len() == addresses.len()
     }
 
-    /// Sends a question until `enough` have answered or the time is over.
+    /// Sends a question until all have answered or the time is over.
     pub async fn ask(
         &self,
         question: impl FnOnce(u64) -> PeerMessage,
         addresses: &[SocketAddr],
-        enough: usize,
     ) -> HashMap<SocketAddr, PeerMessage> {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let question = question(number);
@@ -221,15 +226,14 @@
         let _awaited = Awaited::new(self, number, sender);
         let mut answers = HashMap::new();
         let end = Instant::now() + ANSWER_LIMIT;
-        let enough = enough.min(addresses.len());
-        while answers.len() < enough && Instant::now() < end {
+        while answers.len() < addresses.len() && Instant::now() < end {
             for address in addresses {
                 if !answers.contains_key(address) {
                     self.send(&question, *address).await;
                 }
             }
             let round_end = end.min(Instant::now() + ASK_AGAIN);
-            collect(&mut receiver, &mut answers, enough, round_end).await;
+            collect(&mut receiver, &mut answers, addresses.len(), round_end).await;
         }
         answers
     }
--- a/crates/spurpier-pipeline/src/duty/round.rs
+++ b/crates/spurpier-pipeline/src/duty/round.rs
@@ -55,15 +55,12 @@
         group: &'a Group,
         decision: &'a Decision,
     ) -> Self {
-        let own = context.settings.node.name.as_str();
         let users = context.homes.lead_users(context.clock.now());
         let round = YieldRound::new(
             decision.succession.token,
             decision.sent_at,
             decision.stored_at,
-            own,
             users.iter().map(|user| user.name.clone()),
-            context.voters(),
         );
         Round {
             context,
@@ -118,12 +115,11 @@
             succession: self.decision.succession.clone(),
             version: self.decision.version,
         };
-        let answers = self.peers.ask(question, &addresses, addresses.len()).await;
-        let now = self.context.clock.now();
+        let answers = self.peers.ask(question, &addresses).await;
         for (address, answer) in answers {
             if let (Some(name), PeerMessage::Yielded { token, .. }) = (names.get(&address), answer)
             {
-                self.round.note_yielded(name, token, now);
+                self.round.note_yielded(name, token);
             }
         }
     }
@@ -149,13 +145,12 @@
     /// Takes in which nodes have told the store that they have yielded.
     async fn look_at_store(&mut self) {
         if let Some(duty) = read_duty(self.context).await {
-            let now = self.context.clock.now();
             let yields = duty.yields.into_iter();
             self.stored = yields
                 .filter(|known| known.group == self.group.name)
                 .collect();
             for known in &self.stored {
-                self.round.note_yielded(&known.node, known.token, now);
+                self.round.note_yielded(&known.node, known.token);
             }
         }
         tokio::time::sleep(LOOK_PAUSE).await;
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use spurpier_core::lead::{DutyStep, HolderRecord, Missing, Verdict, blocking, judge, next_step};
+use spurpier_core::lead::{DutyStep, HolderRecord, Missing, Verdict, judge, next_step};
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
 use tokio::sync::mpsc;
@@ -173,20 +173,15 @@
             return Need::Patience;
         }
         let claimant = self.claimant();
-        let voters = self.context.homes.watchers();
-        let own_vote = usize::from(voters.is_own);
-        let blocking = blocking(voters.count);
-        let (sights, standings) = tokio::join!(
-            self.peers.sights(&self.group),
-            self.peers.standings(blocking.saturating_sub(own_vote))
-        );
+        let (sights, reaches_all) =
+            tokio::join!(self.peers.sights(&self.group), self.peers.reaches_all());
         let (peers, asked) = sights;
         let missing = Missing {
             missing_for,
             peers,
             asked,
             listed: claimant.is_some(),
-            blocks_renewal: standings.len() + own_vote >= blocking,
+            reaches_all,
         };
         if judge(&missing, PATIENCE) == Verdict::Keep {
             return Need::Patience;
--- a/crates/spurpier-pipeline/src/forward/caller.rs
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -14,6 +14,7 @@
 
 /// Runs a statement outside a transaction where its group's connections are.
 pub async fn run_single(unit: &Unit, work: &Work, effect: Effect) -> Done {
+    await_list(unit).await;
     let homes = unit.context.homes_of(&unit.group.name);
     if homes.is_own {
         return run_at_home(unit, work, effect).await;
@@ -50,6 +51,12 @@
     run_at_home(unit, work, effect).await
 }
 
+/// Waits until this node knows the other nodes, as right after its start.
+pub(super) async fn await_list(unit: &Unit) {
+    let limit = unit.context.clock.instant(unit.times.wait_until);
+    unit.context.homes.await_list(limit).await;
+}
+
 /// Runs a statement on this node's connections, or at another home that is better off.
 pub(super) async fn run_at_home(unit: &Unit, work: &Work, effect: Effect) -> Done {
     if let Some(relay) = unit.better_home(effect)
--- a/crates/spurpier-pipeline/src/forward/transaction.rs
+++ b/crates/spurpier-pipeline/src/forward/transaction.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::caller::{UnitOutcome, call_within_time, connect, head, session, usable};
+use super::caller::{UnitOutcome, await_list, call_within_time, connect, head, session, usable};
 use super::link::Link;
 use super::messages::{Call, CalledWork};
 use crate::homes::PeerNode;
@@ -22,6 +22,7 @@
     /// Opens a transaction where the group's connections are; gives the client's answer, and the
     /// transaction if it is open.
     pub async fn begin(unit: Unit, work: &Work, read_only: bool) -> (Answer, Option<Self>) {
+        await_list(&unit).await;
         let homes = unit.context.homes_of(&unit.group.name);
         if homes.is_own {
             return Self::begin_at_home(unit, work, read_only, true).await;
--- a/crates/spurpier-pipeline/src/homes.rs
+++ b/crates/spurpier-pipeline/src/homes.rs
@@ -7,12 +7,12 @@
 
 use nanoserde::{DeBin, DeBinErr, SerBin};
 use spurpier_core::homes::subject_digest;
-use spurpier_core::lead::{
-    Distance, LEASE_MARGIN, LONGEST_LEASE, RankedNode, homes_per_zone, rank_homes,
-};
+use spurpier_core::lead::{Distance, LEASE, LEASE_MARGIN, RankedNode, homes_per_zone, rank_homes};
 use spurpier_core::membership::NodeKey;
 use spurpier_core::time::Timestamp;
 use spurpier_core::wire::{decode_address, decode_text, encode_address, encode_text};
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
 
 use crate::settings::PipelineSettings;
 
@@ -141,7 +141,7 @@
 }
 
 /// After so long a node that was taken off the list cannot use a lead any more.
-const LEASES_END: Duration = LONGEST_LEASE.saturating_add(LEASE_MARGIN);
+const LEASES_END: Duration = LEASE.saturating_add(LEASE_MARGIN);
 
 /// The nodes that are listed, and the homes of groups.
 #[derive(Debug)]
@@ -150,6 +150,8 @@
     own: NodeEntry,
     regions: BTreeMap<String, String>,
     inner: Mutex<Inner>,
+    /// Whether the list of nodes has been read.
+    is_known: watch::Sender<bool>,
 }
 
 /// What nodes are ranked for as watchers of the store.
@@ -175,6 +177,16 @@
             own: NodeEntry::own(settings),
             regions: settings.zones.clone(),
             inner: Mutex::default(),
+            is_known: watch::Sender::new(false),
+        }
+    }
+
+    /// Waits until the list of nodes has been read, at most until `limit`.
+    pub async fn await_list(&self, limit: Instant) {
+        if !*self.is_known.borrow() {
+            let mut is_known = self.is_known.subscribe();
+            // If the time passes, this node goes on by itself.
+            let _ = timeout_at(limit, is_known.wait_for(|is_known| *is_known)).await;
         }
     }
 
@@ -186,6 +198,8 @@
         inner.note_taken_off(&before, now);
         inner.ranked.clear();
         inner.watchers = None;
+        drop(inner);
+        self.is_known.send_replace(true);
     }
 
     /// Where a node is reached; none if it is not listed.
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -22,7 +22,7 @@
 use crate::directory::{
     ConfigurationSink, ServerSink, close_unused, forget_gone, share_after_start,
 };
-use crate::duty::{Peers, renew_lease, watch_groups};
+use crate::duty::{Peers, watch_groups};
 use crate::events;
 use crate::follow::follow;
 use crate::forward::{self, Links, LostNodes};
@@ -187,8 +187,6 @@
             links,
             store_lost: AtomicBool::new(false),
             store_regained_at: Mutex::default(),
-            lease_confirmed_at: Mutex::default(),
-            newest_token: AtomicU64::new(0),
             directory_known: watch::Sender::new(false),
             known_tables: KnownTables::new(rand::rng().random()),
             metrics: Metrics::default(),
@@ -220,7 +218,6 @@
     let (sender, wanted) = mpsc::channel(WANTED_CAPACITY);
     let peers = Peers::new(Arc::clone(context), socket, sender);
     tokio::spawn(Arc::clone(&peers).receive());
-    tokio::spawn(renew_lease(Arc::clone(context), Arc::clone(&peers)));
     tokio::spawn(watch_groups(Arc::clone(context), peers, wanted));
 }
 
