--- a/crates/spurpier-core/src/lead/lease.rs
+++ b/crates/spurpier-core/src/lead/lease.rs
@@ -109,6 +109,11 @@
         self.token
     }
 
+    /// Takes in another node that may use a lead.
+    pub fn await_also(&mut self, node: String) {
+        self.awaited.insert(node);
+    }
+
     /// Takes in that a node has yielded to a succession, to this one or to a newer one.
     pub fn note_yielded(&mut self, node: &str, token: u64) {
         if token >= self.token {
--- a/crates/spurpier-pipeline/src/duty/round.rs
+++ b/crates/spurpier-pipeline/src/duty/round.rs
@@ -17,7 +17,7 @@
 use super::peers::Peers;
 use crate::context::Context;
 use crate::events;
-use crate::group::{Group, Ordering};
+use crate::group::{Group, OrderUnderWay};
 use crate::homes::PeerNode;
 use crate::membership::succession_key;
 use crate::ports::{Row, Table};
@@ -28,6 +28,10 @@
 const ASKED_WITHIN: Duration = Duration::from_millis(250);
 /// How often this node tells the store that it has yielded, until the store answers.
 const STORED_YIELDS: usize = 8;
+/// How long this node may take to be told the list of nodes as of its decision.
+const LIST_LIMIT: Duration = Duration::from_secs(3);
+/// How often it is looked whether it has been told.
+const LIST_PAUSE: Duration = Duration::from_millis(10);
 /// The pause after a look at the store that told nothing new.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// For how long nodes are awaited before their names are logged.
@@ -41,6 +45,8 @@
     decision: &'a Decision,
     round: YieldRound,
     users: Vec<PeerNode>,
+    /// Whether the users are all that were listed when the decision was stored, or do not matter.
+    is_complete: bool,
     stored: Vec<StoredYield>,
     has_logged: bool,
 }
@@ -69,6 +75,7 @@
             decision,
             round,
             users,
+            is_complete: false,
             stored: Vec::new(),
             has_logged: false,
         }
@@ -77,15 +84,17 @@
     /// Takes in that the former primary has stepped down: nobody can use it any more.
     pub fn note_stepped_down(&mut self) {
         self.round.await_nobody();
+        self.is_complete = true;
     }
 
     /// Waits until the successor may be ordered to lead; the order must leave at once. None if a
     /// newer decision is known, or the store does not tell.
-    pub async fn await_order(&mut self) -> Option<Ordering<'a>> {
+    pub async fn await_order(&mut self) -> Option<OrderUnderWay<'a>> {
         loop {
             let now = self.context.clock.now();
             match self.round.state(self.group.token(), now) {
                 RoundState::Void => return None,
+                RoundState::Order if !self.is_complete => self.complete_users().await?,
                 RoundState::Order => return Some(self.group.start_ordering()),
                 RoundState::Verify => self.verify().await?,
                 RoundState::Await => {
@@ -97,6 +106,28 @@
         }
     }
 
+    /// Waits until the list of nodes is known as it was when the decision was stored, and takes in
+    /// who is new on it; none if that takes long.
+    async fn complete_users(&mut self) -> Option<()> {
+        let context = self.context;
+        let limit = self.decision.stored_at + LIST_LIMIT;
+        while context.known_tables.version(Table::Cluster) < self.decision.version {
+            if context.clock.now() >= limit {
+                return None;
+            }
+            tokio::time::sleep(LIST_PAUSE).await;
+        }
+        for user in context.homes.lead_users(context.clock.now()) {
+            let is_known = self.users.iter().any(|known| known.name == user.name);
+            if !is_known {
+                self.round.await_also(user.name.clone());
+                self.users.push(user);
+            }
+        }
+        self.is_complete = true;
+        Some(())
+    }
+
     /// Forgets what nodes have told the store for this round.
     pub async fn clean_up(&self) {
         remove_yields(self.context, &self.stored).await;
--- a/crates/spurpier-pipeline/src/group.rs
+++ b/crates/spurpier-pipeline/src/group.rs
@@ -199,9 +199,9 @@
     }
 
     /// Notes that an order is about to be sent, until the result is dropped.
-    pub fn start_ordering(&self) -> Ordering<'_> {
+    pub fn start_ordering(&self) -> OrderUnderWay<'_> {
         self.lock().ordering = true;
-        Ordering(self)
+        OrderUnderWay(self)
     }
 
     /// Takes in that a server accepted a message which only the lead accepts.
@@ -350,9 +350,9 @@
 }
 
 /// An order that is under way; it has its answer when this is dropped.
-pub struct Ordering<'a>(&'a Group);
+pub struct OrderUnderWay<'a>(&'a Group);
 
-impl Drop for Ordering<'_> {
+impl Drop for OrderUnderWay<'_> {
     fn drop(&mut self) {
         self.0.lock().ordering = false;
     }
--- a/crates/spurpier-pipeline/src/known_tables.rs
+++ b/crates/spurpier-pipeline/src/known_tables.rs
@@ -204,6 +204,12 @@
         self.update(table, |known| known.take(row));
     }
 
+    /// The store's version up to which all changes of a table are known.
+    pub fn version(&self, table: Table) -> u64 {
+        let number = table_number(table).map(usize::from);
+        number.map_or(0, |number| self.lock()[number].version)
+    }
+
     /// Up to when the store has told of a table, on this node's clock; none before it did.
     pub fn told_at(&self, table: Table) -> Option<Timestamp> {
         let number = table_number(table)?;
