--- a/crates/spurpier-core/tests/lease_model/mod.rs
+++ b/crates/spurpier-core/tests/lease_model/mod.rs
@@ -1,4 +1,4 @@
-//! Nodes that use a lead, decide and order, over a store and links that fail.
+//! Nodes that register for a lease, use a lead, decide and order, over a store and links that fail.
 
 use std::time::Duration;
 
@@ -27,16 +27,25 @@
     YieldsWhileOrdering,
     /// The moment of what the store told is taken from when it was read.
     YoungNews,
+    /// A node that takes its registration back uses the lead on.
+    UsesUnregistered,
+    /// A decision waits for the nodes that were registered when its node last read the store.
+    OldHolders,
+    /// A node decides that is not registered, so that a newer decision does not wait for its order.
+    DecidesUnregistered,
 }
 
 impl Breakage {
     /// Those that random steps find.
-    pub const COMMON: [Breakage; 5] = [
+    pub const COMMON: [Breakage; 8] = [
         Breakage::NoLease,
         Breakage::NoWait,
         Breakage::NoVerification,
         Breakage::YieldsWhileOrdering,
         Breakage::YoungNews,
+        Breakage::UsesUnregistered,
+        Breakage::OldHolders,
+        Breakage::DecidesUnregistered,
     ];
 }
 
@@ -53,6 +62,10 @@
     StoreTells(usize),
     /// The node reads what the store has answered.
     ReadStore(usize),
+    /// A node registers, so that it may hold the lease.
+    Register(usize),
+    /// A node takes its registration back.
+    Unregister(usize),
     /// A node decides.
     Decide(usize),
     /// A node asks all that it awaits to yield.
@@ -73,6 +86,8 @@
         1 => any::<u8>().prop_map(Step::StoreReachedBy),
         4 => node().prop_map(Step::StoreTells),
         4 => node().prop_map(Step::ReadStore),
+        1 => node().prop_map(Step::Register),
+        1 => node().prop_map(Step::Unregister),
         2 => node().prop_map(Step::Decide),
         4 => node().prop_map(Step::AskYields),
         4 => node().prop_map(Step::Proceed),
@@ -87,15 +102,33 @@
     /// The newest succession that it knows; its token stands for the server that it names.
     token: u64,
     told_at: Option<Timestamp>,
-    /// What the store has answered: at which moment, and the newest token then.
-    unread: Option<(Timestamp, u64)>,
+    /// Which nodes are registered, as the store told it last.
+    holders: [bool; NODES],
+    /// Whether it has not taken its own registration back.
+    claims: bool,
+    /// What the store has answered.
+    unread: Option<StoreAnswer>,
     round: Option<YieldRound>,
     /// An order that is under way: its token, and when it left.
     ordered: Option<(u64, Timestamp)>,
 }
 
+/// What the store holds, and when it told that.
+#[derive(Debug, Clone, Copy)]
+struct StoreAnswer {
+    told_at: Timestamp,
+    /// The newest token.
+    token: u64,
+    /// Which nodes are registered.
+    holders: [bool; NODES],
+}
+
 impl Node {
-    fn holds_lease(&self, breakage: Breakage, now: Timestamp) -> bool {
+    fn holds_lease(&self, own: usize, breakage: Breakage, now: Timestamp) -> bool {
+        let keeps_using = breakage == Breakage::UsesUnregistered;
+        if !self.holders[own] || !(self.claims || keeps_using) {
+            return false;
+        }
         let counts =
             |told_at: &Timestamp| *told_at > self.started_at || breakage == Breakage::FormerNews;
         holds_lease(self.told_at.filter(counts), now)
@@ -110,6 +143,8 @@
     store_reached_by: u8,
     /// The newest token in the store.
     stored: u64,
+    /// Which nodes are registered in the store.
+    holders: [bool; NODES],
     /// The token by whose order the present lead was promoted.
     effective: u64,
     violation: Option<String>,
@@ -125,6 +160,8 @@
         let node = Node {
             started_at: now.before(Duration::from_millis(1)),
             told_at: Some(now),
+            holders: [true; NODES],
+            claims: true,
             ..Node::default()
         };
         World {
@@ -134,6 +171,7 @@
             cut: 0,
             store_reached_by: u8::MAX,
             stored: 0,
+            holders: [true; NODES],
             effective: 0,
             violation: None,
         }
@@ -154,15 +192,27 @@
             Step::Cut(set) => self.cut = set,
             Step::StoreReachedBy(set) => self.store_reached_by = set,
             Step::StoreTells(node) if self.reaches_store(node) => {
-                self.nodes[node].unread = Some((self.now, self.stored));
+                self.nodes[node].unread = Some(StoreAnswer {
+                    told_at: self.now,
+                    token: self.stored,
+                    holders: self.holders,
+                });
             }
             Step::ReadStore(node) => self.read_store(node),
+            Step::Register(node) if self.reaches_store(node) => {
+                self.nodes[node].claims = true;
+                self.holders[node] = true;
+            }
+            Step::Unregister(node) if self.reaches_store(node) && !self.is_deciding(node) => {
+                self.nodes[node].claims = false;
+                self.holders[node] = false;
+            }
             Step::Decide(node) if self.reaches_store(node) => self.decide(node),
             Step::AskYields(node) => self.ask_yields(node),
             Step::Proceed(node) => self.proceed(node),
             Step::CarryOut(node) => self.carry_out(node),
             Step::Restart(node, from) => self.restart(node, from),
-            Step::StoreTells(_) | Step::Decide(_) => {}
+            Step::StoreTells(_) | Step::Register(_) | Step::Unregister(_) | Step::Decide(_) => {}
         }
         self.check();
     }
@@ -188,32 +238,48 @@
     }
 
     fn read_store(&mut self, node: usize) {
-        let Some((told_at, token)) = self.nodes[node].unread.take() else {
+        let Some(answer) = self.nodes[node].unread.take() else {
             return;
         };
         let told_at = if self.breakage == Breakage::YoungNews {
             self.now
         } else {
-            told_at
+            answer.told_at
         };
         let node = &mut self.nodes[node];
         node.told_at = node.told_at.max(Some(told_at));
-        node.token = node.token.max(token);
+        node.token = node.token.max(answer.token);
+        node.holders = answer.holders;
     }
 
     /// The decision is stored under the condition that it is the next one, and acknowledged at once.
     fn decide(&mut self, node: usize) {
-        if self.nodes[node].ordered.is_some() {
+        let deciding = &self.nodes[node];
+        let may_decide = deciding.holds_lease(node, self.breakage, self.now)
+            || self.breakage == Breakage::DecidesUnregistered;
+        if deciding.ordered.is_some() || !may_decide {
             return;
         }
         self.stored += 1;
         let token = self.stored;
-        let others = (0..NODES).filter(|other| *other != node).map(name);
+        // The node that decides is told of the registrations up to its decision before it orders.
+        let holders = match self.breakage {
+            Breakage::OldHolders => self.nodes[node].holders,
+            _ => self.holders,
+        };
+        let others = (0..NODES).filter(|other| *other != node && holders[*other]);
+        let others = others.map(name);
         let round = YieldRound::new(token, self.now, self.now, others);
         self.nodes[node].token = token;
         self.nodes[node].round = Some(round);
     }
 
+    /// Whether a node has decided and not finished.
+    fn is_deciding(&self, node: usize) -> bool {
+        let is_under_way = self.nodes[node].round.is_some() || self.nodes[node].ordered.is_some();
+        is_under_way && self.breakage != Breakage::DecidesUnregistered
+    }
+
     fn ask_yields(&mut self, node: usize) {
         let Some(mut round) = self.nodes[node].round.take() else {
             return;
@@ -280,6 +346,8 @@
         self.nodes[node] = Node {
             started_at: self.now,
             token: known.as_ref().map_or(0, |known| known.token),
+            holders: known.as_ref().map_or([false; NODES], |known| known.holders),
+            claims: true,
             told_at: known.and_then(|known| known.told_at),
             ..Node::default()
         };
@@ -287,8 +355,8 @@
 
     fn check(&mut self) {
         for (index, node) in self.nodes.iter().enumerate() {
-            let believes =
-                node.holds_lease(self.breakage, self.now) || self.breakage == Breakage::NoLease;
+            let believes = node.holds_lease(index, self.breakage, self.now)
+                || self.breakage == Breakage::NoLease;
             if believes && node.token < self.effective {
                 let effective = self.effective;
                 let text = format!(
--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -1,6 +1,6 @@
 //! What all sessions and tasks of a node share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use spurpier_core::retry::{RetryBudget, RetryBudgetSettings};
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -69,6 +69,10 @@
     pub store_regained_at: Mutex<Option<Timestamp>>,
     /// Whether the servers have been read once.
     pub directory_known: watch::Sender<bool>,
+    /// Whether this node took the promotion duty and has not seen another holder since.
+    pub holds_duty: AtomicBool,
+    /// Told when this node comes to want the lease of another group.
+    pub lease_wanted: Notify,
     /// Bounds attempts beyond the first.
     pub retry_budget: Mutex<RetryBudget>,
     /// The store's tables as last seen.
@@ -127,20 +131,36 @@
         known.unwrap_or(UNKNOWN_LIMIT) * 9 / 10
     }
 
-    /// Whether this node holds the lease to use leads.
+    /// Whether this node holds the lease to use a group's primary.
     ///
     /// What was told in a former life does not count: that one may have yielded to a succession that
-    /// this one does not know. A decision waits only for nodes that are listed.
-    pub fn holds_lease(&self) -> bool {
+    /// this one does not know. A decision waits only for nodes whose entry names the group.
+    pub fn holds_lease(&self, group: &Group) -> bool {
         let told_at = self.known_tables.told_at(Table::Cluster);
         let told_at = told_at.filter(|told_at| *told_at > self.clock.started_at());
-        holds_lease(told_at, self.clock.now()) && self.homes.lists_self()
+        let version = self.known_tables.version(Table::Cluster);
+        holds_lease(told_at, self.clock.now()) && self.homes.may_hold_lease(&group.name, version)
+    }
+
+    /// The groups whose primary this node has a use for: those that it is a home of, stands in for
+    /// or is to see to, and all of them while it holds the promotion duty.
+    pub fn wanted_leases(&self) -> BTreeSet<String> {
+        let now = self.clock.now();
+        let holds_duty = self.holds_duty.load(Ordering::Relaxed);
+        let wants = |group: &Arc<Group>| {
+            holds_duty
+                || group.stands_in(now)
+                || group.is_attended()
+                || self.homes_of(&group.name).is_own
+        };
+        let groups = self.all_groups().into_iter().filter(wants);
+        groups.map(|group| group.name.clone()).collect()
     }
 
     /// Whether a server may be used as its group's lead, and what it answers be believed: no other
     /// server can have taken the lead before this moment.
     pub fn may_lead(&self, group: &Group, server: &Server) -> bool {
-        group.is_successor(&server.instance) && self.holds_lease()
+        group.is_successor(&server.instance) && self.holds_lease(group)
     }
 
     /// Takes in that a server takes over a group; tells whether that is new.
@@ -184,6 +204,14 @@
         !self.draining.is_cancelled() && !self.store_lost.load(Ordering::Relaxed)
     }
 
+    /// Takes in which node holds the promotion duty.
+    pub fn note_duty_holder(&self, holder: &str) {
+        let is_own = holder == self.settings.node.name;
+        if self.holds_duty.swap(is_own, Ordering::Relaxed) != is_own {
+            self.lease_wanted.notify_one();
+        }
+    }
+
     /// Takes in a statement's first attempt, which earns a part of a further one.
     pub fn note_first_attempt(&self) {
         let budget = &self.retry_budget;
--- a/crates/spurpier-pipeline/src/duty/holder.rs
+++ b/crates/spurpier-pipeline/src/duty/holder.rs
@@ -20,6 +20,8 @@
 const KEY: &str = "promotion";
 /// What stands before the group and the node in the key of a node's yield.
 const YIELD_PREFIX: &str = "yield/";
+/// Rows that one transaction removes; the store takes 100 entries at most.
+const REMOVED_AT_ONCE: usize = 50;
 /// How long one call may take.
 const CALL_LIMIT: Duration = Duration::from_millis(800);
 
@@ -85,6 +87,9 @@
         row: DutyRow::deserialize_bin(&row.value).ok(),
         version: row.version,
     });
+    if let Some(row) = &holder.row {
+        context.note_duty_holder(&row.holder);
+    }
     let yields = read.rows.iter().filter_map(stored_yield).collect();
     Some(ReadDuty { holder, yields })
 }
@@ -123,9 +128,9 @@
         key: yield_key(&known.group, &known.node),
     });
     let writes: Vec<Write> = writes.collect();
-    if !writes.is_empty() {
+    for writes in writes.chunks(REMOVED_AT_ONCE) {
         // What is left is replaced when the node yields again.
-        make(context, Vec::new(), writes).await;
+        make(context, Vec::new(), writes.to_vec()).await;
     }
 }
 
@@ -168,6 +173,7 @@
         return None;
     };
     log_event!(events::DUTY_TAKEN, token = next.token);
+    context.note_duty_holder(&next.holder);
     Some(Decision {
         succession,
         version,
--- a/crates/spurpier-pipeline/src/duty/peers.rs
+++ b/crates/spurpier-pipeline/src/duty/peers.rs
@@ -194,11 +194,11 @@
         }
     }
 
-    /// Whether all other nodes answer that may use a lead. Those that do not are tried on, and taken
+    /// Whether all other nodes answer that may hold the lease of a group's primary. Those that do not are tried on, and taken
     /// off the list in the end.
-    pub async fn reaches_all(&self) -> bool {
+    pub async fn reaches_all(&self, group: &Group) -> bool {
         let clock = &self.context.clock;
-        let users = self.context.homes.lead_users(clock.now());
+        let users = self.context.homes.lease_holders(&group.name, clock.now());
         let addresses: Vec<SocketAddr> = users.iter().map(|user| user.address).collect();
         let question = |number| PeerMessage::AskPresence { number };
         let answers = self.ask(question, &addresses).await;
--- a/crates/spurpier-pipeline/src/duty/round.rs
+++ b/crates/spurpier-pipeline/src/duty/round.rs
@@ -44,8 +44,8 @@
     group: &'a Group,
     decision: &'a Decision,
     round: YieldRound,
-    users: Vec<PeerNode>,
-    /// Whether the users are all that were listed when the decision was stored, or do not matter.
+    holders: Vec<PeerNode>,
+    /// Whether the holders are all that were listed when the decision was stored, or do not matter.
     is_complete: bool,
     stored: Vec<StoredYield>,
     has_logged: bool,
@@ -61,12 +61,12 @@
         group: &'a Group,
         decision: &'a Decision,
     ) -> Self {
-        let users = context.homes.lead_users(context.clock.now());
+        let holders = lease_holders(context, group);
         let round = YieldRound::new(
             decision.succession.token,
             decision.sent_at,
             decision.stored_at,
-            users.iter().map(|user| user.name.clone()),
+            holders.iter().map(|holder| holder.name.clone()),
         );
         Round {
             context,
@@ -74,7 +74,7 @@
             group,
             decision,
             round,
-            users,
+            holders,
             is_complete: false,
             stored: Vec::new(),
             has_logged: false,
@@ -94,7 +94,7 @@
             let now = self.context.clock.now();
             match self.round.state(self.group.token(), now) {
                 RoundState::Void => return None,
-                RoundState::Order if !self.is_complete => self.complete_users().await?,
+                RoundState::Order if !self.is_complete => self.complete_holders().await?,
                 RoundState::Order => return Some(self.group.start_ordering()),
                 RoundState::Verify => self.verify().await?,
                 RoundState::Await => {
@@ -108,7 +108,7 @@
 
     /// Waits until the list of nodes is known as it was when the decision was stored, and takes in
     /// who is new on it; none if that takes long.
-    async fn complete_users(&mut self) -> Option<()> {
+    async fn complete_holders(&mut self) -> Option<()> {
         let context = self.context;
         let limit = self.decision.stored_at + LIST_LIMIT;
         while context.known_tables.version(Table::Cluster) < self.decision.version {
@@ -117,11 +117,11 @@
             }
             tokio::time::sleep(LIST_PAUSE).await;
         }
-        for user in context.homes.lead_users(context.clock.now()) {
-            let is_known = self.users.iter().any(|known| known.name == user.name);
+        for holder in lease_holders(context, self.group) {
+            let is_known = self.holders.iter().any(|known| known.name == holder.name);
             if !is_known {
-                self.round.await_also(user.name.clone());
-                self.users.push(user);
+                self.round.await_also(holder.name.clone());
+                self.holders.push(holder);
             }
         }
         self.is_complete = true;
@@ -134,10 +134,10 @@
     }
 
     async fn ask_awaited(&mut self) {
-        let awaited = self.users.iter();
-        let awaited = awaited.filter(|user| self.round.awaits(&user.name));
+        let awaited = self.holders.iter();
+        let awaited = awaited.filter(|holder| self.round.awaits(&holder.name));
         let names: HashMap<SocketAddr, String> = awaited
-            .map(|user| (user.address, user.name.clone()))
+            .map(|holder| (holder.address, holder.name.clone()))
             .collect();
         let addresses: Vec<SocketAddr> = names.keys().copied().collect();
         let question = |number| PeerMessage::AskYield {
@@ -157,9 +157,9 @@
 
     fn log_awaited(&mut self) {
         let now = self.context.clock.now();
-        let awaited = self.users.iter();
-        let awaited = awaited.filter(|user| self.round.awaits(&user.name));
-        let awaited: Vec<&str> = awaited.map(|user| user.name.as_str()).collect();
+        let awaited = self.holders.iter();
+        let awaited = awaited.filter(|holder| self.round.awaits(&holder.name));
+        let awaited: Vec<&str> = awaited.map(|holder| holder.name.as_str()).collect();
         let is_long = now.since(self.decision.stored_at) >= LOGGED_AFTER;
         if self.has_logged || awaited.is_empty() || !is_long {
             return;
@@ -205,6 +205,11 @@
     }
 }
 
+fn lease_holders(context: &Context, group: &Group) -> Vec<PeerNode> {
+    let now = context.clock.now();
+    context.homes.lease_holders(&group.name, now)
+}
+
 /// Takes in a succession that the deciding node has told of, and tells whether this node may say
 /// that it has yielded: not while its own order for the group is under way.
 pub fn yield_to(context: &Context, group: &Group, succession: &Succession, version: u64) -> bool {
@@ -225,10 +230,13 @@
 }
 
 /// Tells the deciding node by way of the store that this node has yielded, unless that one has
-/// asked this one meanwhile.
+/// asked this one meanwhile or does not wait for it.
 pub async fn yield_by_store(context: Arc<Context>, group: Arc<Group>, token: u64) {
     for _ in 0..STORED_YIELDS {
         tokio::time::sleep(ASKED_WITHIN).await;
+        if !context.homes.is_awaited(&group.name, context.clock.now()) {
+            return;
+        }
         let is_told = group.asked_token() >= token || group.token() > token;
         if is_told || (!group.is_ordering() && store_yield(&context, &group, token).await) {
             return;
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -84,6 +84,8 @@
         if !open.insert(group.name.clone()) {
             return;
         }
+        group.set_attended(true);
+        context.lease_wanted.notify_one();
         let case = Case {
             context: Arc::clone(context),
             peers: Arc::clone(peers),
@@ -94,10 +96,11 @@
         };
         let cases = Arc::clone(self);
         tokio::spawn(async move {
-            let name = case.group.name.clone();
+            let group = Arc::clone(&case.group);
             case.run().await;
             let mut open = cases.0.lock().unwrap_or_else(PoisonError::into_inner);
-            open.remove(&name);
+            open.remove(&group.name);
+            group.set_attended(false);
         });
     }
 }
@@ -143,7 +146,7 @@
         let clock = &self.context.clock;
         let started = clock.now();
         self.assessed_at = started;
-        if !self.context.holds_lease() {
+        if !self.context.holds_lease(&self.group) {
             // That the lead cannot be used says nothing of it.
             self.missing_since = None;
             return Need::Patience;
@@ -173,8 +176,10 @@
             return Need::Patience;
         }
         let claimant = self.claimant();
-        let (sights, reaches_all) =
-            tokio::join!(self.peers.sights(&self.group), self.peers.reaches_all());
+        let (sights, reaches_all) = tokio::join!(
+            self.peers.sights(&self.group),
+            self.peers.reaches_all(&self.group)
+        );
         let (peers, asked) = sights;
         let missing = Missing {
             missing_for,
@@ -299,7 +304,13 @@
     }
 
     /// Stores the decision that a server takes over; from then on this node uses no other.
+    ///
+    /// Only a node that is registered for the group decides, and it stays registered while its case
+    /// is open: a newer decision waits for it, and so for its order.
     async fn decide(&mut self, duty: &KnownDuty, successor: &Server) -> Option<Decision> {
+        if !self.context.holds_lease(&self.group) {
+            return None;
+        }
         let decision = store_decision(&self.context, duty, &self.group, successor).await?;
         yield_to(
             &self.context,
--- a/crates/spurpier-pipeline/src/forward/caller.rs
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -47,7 +47,7 @@
             unit.refuse(&work.id, NotRun::NoHome)
         });
     }
-    unit.group.stand_in(unit.context.clock.now());
+    unit.stand_in();
     run_at_home(unit, work, effect).await
 }
 
--- a/crates/spurpier-pipeline/src/forward/transaction.rs
+++ b/crates/spurpier-pipeline/src/forward/transaction.rs
@@ -36,11 +36,10 @@
                 Begun::NotTaken => {}
             }
         }
-        let now = unit.context.clock.now();
-        if now >= unit.times.wait_until {
+        if unit.context.clock.now() >= unit.times.wait_until {
             return (unit.refuse(&work.id, NotRun::NoHome), None);
         }
-        unit.group.stand_in(now);
+        unit.stand_in();
         Self::begin_at_home(unit, work, read_only, true).await
     }
 
--- a/crates/spurpier-pipeline/src/group.rs
+++ b/crates/spurpier-pipeline/src/group.rs
@@ -45,6 +45,8 @@
     relay: Option<(PeerNode, Timestamp)>,
     /// Until when this node, which is no home, stands in for homes that it cannot reach.
     stands_in_until: Timestamp,
+    /// Whether this node is seeing to the group's primary.
+    attended: bool,
 }
 
 /// One group as this node knows it.
@@ -302,6 +304,16 @@
         self.lock().stands_in_until > now
     }
 
+    /// Notes whether this node is seeing to the group's primary.
+    pub fn set_attended(&self, attended: bool) {
+        self.lock().attended = attended;
+    }
+
+    /// Whether this node is seeing to the group's primary.
+    pub fn is_attended(&self) -> bool {
+        self.lock().attended
+    }
+
     /// When the message of the newest proof left.
     pub fn proven_at(&self) -> Option<Timestamp> {
         self.lock().evidence.newest().map(|proof| proof.sent_at)
--- a/crates/spurpier-pipeline/src/homes.rs
+++ b/crates/spurpier-pipeline/src/homes.rs
@@ -5,74 +5,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use nanoserde::{DeBin, DeBinErr, SerBin};
-use spurpier_core::homes::subject_digest;
 use spurpier_core::lead::{Distance, LEASE, LEASE_MARGIN, RankedNode, homes_per_zone, rank_homes};
-use spurpier_core::membership::NodeKey;
 use spurpier_core::time::Timestamp;
-use spurpier_core::wire::{decode_address, decode_text, encode_address, encode_text};
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
+use crate::node_entry::{ListedNode, NodeEntry};
 use crate::settings::PipelineSettings;
 
-/// The least weight that a node can have: every node can be a home.
-const LEAST_WEIGHT: f64 = 0.01;
-
-/// What a node tells of itself in the store.
-#[derive(Debug, Clone, PartialEq)]
-pub struct NodeEntry {
-    /// Where other nodes reach it: datagrams and forwarded units.
-    pub address: SocketAddr,
-    /// Its zone.
-    pub zone: String,
-    /// How much it can do beside the others.
-    pub weight: f64,
-    /// Whether it is about to end: it is given no work, but may still do what it has.
-    pub leaving: bool,
-}
-
-/// An entry as the store lists it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ListedNode {
-    /// The entry.
-    pub entry: NodeEntry,
-    /// The version of its row.
-    pub version: u64,
-}
-
-impl NodeEntry {
-    /// What the node with these settings tells of itself.
-    pub fn own(settings: &PipelineSettings) -> Self {
-        NodeEntry {
-            address: settings.listen.internal,
-            zone: settings.node.zone.clone(),
-            weight: settings.node.weight,
-            leaving: false,
-        }
-    }
-}
-
-impl SerBin for NodeEntry {
-    fn ser_bin(&self, output: &mut Vec<u8>) {
-        encode_address(self.address, output);
-        encode_text(&self.zone, output);
-        self.weight.ser_bin(output);
-        self.leaving.ser_bin(output);
-    }
-}
-
-impl DeBin for NodeEntry {
-    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Self, DeBinErr> {
-        Ok(NodeEntry {
-            address: decode_address(offset, bytes)?,
-            zone: decode_text(offset, bytes)?.to_owned(),
-            weight: f64::de_bin(offset, bytes)?,
-            leaving: bool::de_bin(offset, bytes)?,
-        })
-    }
-}
-
 /// A node that other nodes can reach.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerNode {
@@ -119,24 +59,48 @@
     watchers: Option<Arc<ChosenNodes>>,
     /// Nodes that were taken off the list although they did not leave, and when that was seen.
     taken_off: BTreeMap<String, (NodeEntry, Timestamp)>,
+    /// The groups of the entry that this node wrote last; none before it has written one.
+    claimed: Option<BTreeSet<String>>,
 }
 
 impl Inner {
-    /// Remembers the nodes that a change takes off the list without their own doing.
-    fn note_taken_off(&mut self, before: &BTreeMap<String, ListedNode>, now: Timestamp) {
-        let Some(nodes) = &self.nodes else {
-            return;
+    /// Lists a node, or takes it off the list.
+    fn set(&mut self, name: String, node: Option<ListedNode>, now: Timestamp) {
+        let nodes = self.nodes.get_or_insert_default();
+        let (before, is_listed) = match node {
+            Some(node) => (nodes.insert(name.clone(), node), true),
+            None => (nodes.remove(&name), false),
         };
-        let missing = before
-            .iter()
-            .filter(|(name, node)| !nodes.contains_key(*name) && !node.entry.leaving);
-        for (name, node) in missing {
-            let known = (node.entry.clone(), now);
-            self.taken_off.insert(name.clone(), known);
+        if is_listed {
+            self.taken_off.remove(&name);
+        } else if let Some(before) = before.filter(|before| !before.entry.leaving) {
+            self.taken_off.insert(name, (before.entry, now));
         }
-        let listed = |name: &String| nodes.contains_key(name);
+    }
+
+    fn note_changed(&mut self, now: Timestamp) {
         self.taken_off
-            .retain(|name, (_, since)| !listed(name) && now.since(*since) < LEASES_END);
+            .retain(|_, (_, since)| now.since(*since) < LEASES_END);
+        self.ranked.clear();
+        self.watchers = None;
+    }
+
+    /// The nodes that may hold the lease of a group's primary: those whose entry names the group,
+    /// also while they leave, and such nodes that were taken off the list a short time ago.
+    fn lease_holders(
+        &self,
+        group: &str,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (&String, &NodeEntry)> {
+        let listed = self.nodes.iter().flatten();
+        let listed = listed.map(|(name, node)| (name, &node.entry));
+        let taken_off = self.taken_off.iter();
+        let taken_off = taken_off.filter(move |(_, (_, since))| now.since(*since) < LEASES_END);
+        let taken_off = taken_off.map(|(name, (entry, _))| (name, entry));
+        let holds = move |entry: &NodeEntry| entry.lease_groups.contains(group);
+        listed
+            .chain(taken_off)
+            .filter(move |(_, entry)| holds(entry))
     }
 }
 
@@ -152,6 +116,8 @@
     inner: Mutex<Inner>,
     /// Whether the list of nodes has been read.
     is_known: watch::Sender<bool>,
+    /// Counts the changes of the list.
+    changed: watch::Sender<u64>,
 }
 
 /// What nodes are ranked for as watchers of the store.
@@ -178,6 +144,7 @@
             regions: settings.zones.clone(),
             inner: Mutex::default(),
             is_known: watch::Sender::new(false),
+            changed: watch::Sender::new(0),
         }
     }
 
@@ -190,16 +157,42 @@
         }
     }
 
-    /// Changes the listed nodes.
-    pub fn update(&self, now: Timestamp, change: impl FnOnce(&mut BTreeMap<String, ListedNode>)) {
+    /// A receiver that is told of changes of the list.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Takes in the whole list.
+    pub fn replace(&self, nodes: BTreeMap<String, ListedNode>, now: Timestamp) {
+        let mut inner = self.lock();
+        let known = inner.nodes.iter().flatten();
+        let missing: Vec<String> = known
+            .map(|(name, _)| name)
+            .filter(|name| !nodes.contains_key(*name))
+            .cloned()
+            .collect();
+        for name in missing {
+            inner.set(name, None, now);
+        }
+        for (name, node) in nodes {
+            inner.set(name, Some(node), now);
+        }
+        inner.nodes.get_or_insert_default();
+        self.note_changed(inner, now);
+    }
+
+    /// Takes in that a node is listed, or is not listed any more.
+    pub fn set(&self, name: &str, node: Option<ListedNode>, now: Timestamp) {
         let mut inner = self.lock();
-        let before = inner.nodes.clone().unwrap_or_default();
-        change(inner.nodes.get_or_insert_default());
-        inner.note_taken_off(&before, now);
-        inner.ranked.clear();
-        inner.watchers = None;
+        inner.set(name.to_owned(), node, now);
+        self.note_changed(inner, now);
+    }
+
+    fn note_changed(&self, mut inner: MutexGuard<'_, Inner>, now: Timestamp) {
+        inner.note_changed(now);
         drop(inner);
         self.is_known.send_replace(true);
+        self.changed.send_modify(|count| *count += 1);
     }
 
     /// Where a node is reached; none if it is not listed.
@@ -209,29 +202,51 @@
         Some(node.entry.address)
     }
 
-    /// Whether this node itself is listed.
-    pub fn lists_self(&self) -> bool {
+    /// This node's entry as the store lists it.
+    pub fn own_listing(&self) -> Option<ListedNode> {
         let inner = self.lock();
-        let nodes = inner.nodes.as_ref();
-        nodes.is_some_and(|nodes| nodes.contains_key(&self.own_name))
+        inner.nodes.as_ref()?.get(&self.own_name).cloned()
+    }
+
+    /// Takes in that this node is about to write an entry with these groups: from now on it uses
+    /// the primary of no other group.
+    pub fn claim(&self, groups: &BTreeSet<String>) {
+        self.lock().claimed = Some(groups.clone());
     }
 
-    /// All other nodes that may use a lead: those that are listed, also while they leave, and those
-    /// that were taken off the list a short time ago.
-    pub fn lead_users(&self, now: Timestamp) -> Vec<PeerNode> {
+    /// Whether this node's entry names a group whose primary it may use, when all changes of the
+    /// list are known up to `version`.
+    ///
+    /// A list that is read by pages may show a row that is newer than the page before: until the
+    /// changes between are known too, the entry allows nothing.
+    pub fn may_hold_lease(&self, group: &str, version: u64) -> bool {
         let inner = self.lock();
-        let listed = inner.nodes.iter().flatten();
-        let listed = listed.map(|(name, node)| (name, &node.entry));
-        let taken_off = inner.taken_off.iter();
-        let taken_off = taken_off.filter(|(_, (_, since))| now.since(*since) < LEASES_END);
-        let taken_off = taken_off.map(|(name, (entry, _))| (name, entry));
-        let users = listed.chain(taken_off);
-        users
+        let claimed = inner.claimed.as_ref();
+        let listed = inner.nodes.as_ref();
+        let listed = listed.and_then(|nodes| nodes.get(&self.own_name));
+        let allows =
+            |node: &ListedNode| node.version <= version && node.entry.lease_groups.contains(group);
+        claimed.is_none_or(|groups| groups.contains(group)) && listed.is_some_and(allows)
+    }
+
+    /// All other nodes that may hold the lease of a group's primary: those whose entry names the
+    /// group, also while they leave, and such nodes that were taken off the list a short time ago.
+    pub fn lease_holders(&self, group: &str, now: Timestamp) -> Vec<PeerNode> {
+        let inner = self.lock();
+        let holders = inner.lease_holders(group, now);
+        holders
             .filter(|(name, _)| **name != self.own_name)
             .map(|(name, entry)| peer_node(name, entry))
             .collect()
     }
 
+    /// Whether a decision on a group's primary waits for this node, listed or just taken off.
+    pub fn is_awaited(&self, group: &str, now: Timestamp) -> bool {
+        let inner = self.lock();
+        let mut holders = inner.lease_holders(group, now);
+        holders.any(|(name, _)| *name == self.own_name)
+    }
+
     /// The name of the listed node at an address, and the version of its row.
     pub fn listed_at(&self, address: SocketAddr) -> Option<(String, u64)> {
         let inner = self.lock();
@@ -252,9 +267,10 @@
             return Arc::new(ChosenNodes::unknown());
         };
         let per_zone = |nodes, zones| homes_per_zone(connections, nodes, zones);
-        // A node that leaves goes on with what it has.
-        let counts = |name: &str, node: &NodeEntry| !node.leaving || name == self.own_name;
-        let homes = Arc::new(self.choose(nodes, counts, group, per_zone));
+        let mut nodes = staying(nodes);
+        // A node that leaves goes on with what it has, and one that starts is about to be listed.
+        nodes.entry(&self.own_name).or_insert(&self.own);
+        let homes = Arc::new(self.choose(&nodes, group, per_zone));
         let known = (connections, Arc::clone(&homes));
         inner.ranked.insert(group.to_owned(), known);
         homes
@@ -269,27 +285,20 @@
         let Some(nodes) = &inner.nodes else {
             return Arc::new(ChosenNodes::unknown());
         };
-        let counts = |_: &str, node: &NodeEntry| !node.leaving;
-        let watchers = self.choose(nodes, counts, WATCHED_SUBJECT, watchers_per_zone);
+        let watchers = self.choose(&staying(nodes), WATCHED_SUBJECT, watchers_per_zone);
         let watchers = Arc::new(watchers);
         inner.watchers = Some(Arc::clone(&watchers));
         watchers
     }
 
-    /// Chooses the first-ranked nodes of each zone among those that count; `per_zone` gives how
-    /// many, for so many nodes in so many zones.
+    /// Chooses the first-ranked nodes of each zone; `per_zone` gives how many, for so many nodes in
+    /// so many zones.
     fn choose(
         &self,
-        listed: &BTreeMap<String, ListedNode>,
-        counts: impl Fn(&str, &NodeEntry) -> bool,
+        nodes: &BTreeMap<&str, &NodeEntry>,
         subject: &str,
         per_zone: impl FnOnce(usize, usize) -> usize,
     ) -> ChosenNodes {
-        let nodes: BTreeMap<&str, &NodeEntry> = listed
-            .iter()
-            .map(|(name, node)| (name.as_str(), &node.entry))
-            .filter(|(name, entry)| counts(name, entry))
-            .collect();
         let zones: BTreeSet<&str> = nodes.values().map(|node| node.zone.as_str()).collect();
         let per_zone = per_zone(nodes.len(), zones.len());
         let mut chosen = Vec::new();
@@ -297,7 +306,7 @@
             let members: Vec<_> = nodes.iter().filter(|(_, node)| node.zone == zone).collect();
             let ranked: Vec<RankedNode> = members
                 .iter()
-                .map(|(name, node)| ranked_node(name, node))
+                .map(|(name, node)| node.ranked(name))
                 .collect();
             let order = rank_homes(subject, &ranked).into_iter().take(per_zone);
             chosen.extend(order.map(|index| {
@@ -337,6 +346,14 @@
     }
 }
 
+/// The nodes that are not about to end.
+fn staying(listed: &BTreeMap<String, ListedNode>) -> BTreeMap<&str, &NodeEntry> {
+    let entries = listed
+        .iter()
+        .map(|(name, node)| (name.as_str(), &node.entry));
+    entries.filter(|(_, entry)| !entry.leaving).collect()
+}
+
 fn peer_node(name: &str, entry: &NodeEntry) -> PeerNode {
     PeerNode {
         name: name.to_owned(),
@@ -344,10 +361,3 @@
         zone: entry.zone.clone(),
     }
 }
-
-fn ranked_node(name: &str, node: &NodeEntry) -> RankedNode {
-    RankedNode {
-        key: NodeKey(subject_digest(name)),
-        weight: node.weight.max(LEAST_WEIGHT),
-    }
-}
--- a/crates/spurpier-pipeline/src/lib.rs
+++ b/crates/spurpier-pipeline/src/lib.rs
@@ -21,6 +21,7 @@
 mod membership;
 mod metrics;
 mod node;
+mod node_entry;
 pub mod ports;
 mod readiness;
 mod server;
--- a/crates/spurpier-pipeline/src/membership.rs
+++ b/crates/spurpier-pipeline/src/membership.rs
@@ -7,7 +7,8 @@
 use nanoserde::{DeBin, SerBin};
 use spurpier_core::lead::Succession;
 use spurpier_events::log_event;
-use tokio::time::timeout;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout};
 
 use crate::context::Context;
 use crate::directory::share_connections;
@@ -15,13 +16,30 @@
 use crate::events;
 use crate::follow::RowSink;
 use crate::forward::LostNodes;
-use crate::homes::{ListedNode, NodeEntry};
-use crate::ports::{Condition, Row, Table, Transaction, Write};
+use crate::node_entry::{ListedNode, NodeEntry};
+use crate::ports::{Condition, Row, Table, TransactOutcome, Transaction, Write};
 
 /// How long one write of the own entry may take.
 const WRITE_LIMIT: Duration = Duration::from_secs(1);
 /// The pause after a write that failed.
 const WRITE_PAUSE: Duration = Duration::from_millis(700);
+/// How often the entry of a node that leaves is tried to be written.
+const LEAVING_WRITES: usize = 3;
+/// The pause between two of these.
+const LEAVING_PAUSE: Duration = Duration::from_millis(200);
+/// How long a starting node waits to read who is listed before it lists itself: after a restart its
+/// entry still stands there.
+const LIST_LIMIT: Duration = Duration::from_secs(1);
+/// How long a starting node then waits for the groups, so that one write names those it serves.
+const GROUPS_LIMIT: Duration = Duration::from_millis(500);
+/// How long a node waits to be told of its own write before it writes again. Longer than a node
+/// that follows another one waits for its news.
+const TOLD_LIMIT: Duration = Duration::from_secs(3);
+/// How often the own entry is compared with what it should be, if nothing tells of a change.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
+/// For how long an entry may name groups of which the node uses the primary no more: the homes of
+/// a group often change back when a node has restarted, and each write is paid for.
+const SURPLUS_KEPT: Duration = Duration::from_secs(6);
 
 /// What stands before a group's name in the key of its succession's row.
 const SUCCESSION_PREFIX: &str = "lead/";
@@ -36,32 +54,148 @@
     !row.key.starts_with(SUCCESSION_PREFIX)
 }
 
-/// Lists this node, as often as it takes.
-pub async fn list_self(context: Arc<Context>) {
+/// Keeps this node listed with the groups whose primary it uses; returns when the node drains.
+pub async fn keep_listed(context: Arc<Context>) {
+    let mut changes = context.homes.changes();
+    context.homes.await_list(Instant::now() + LIST_LIMIT).await;
+    await_groups(&context).await;
+    let mut surplus_since = None;
     while !context.draining.is_cancelled() {
-        if try_write(&context, Vec::new(), own_entry(&context, false)).await {
-            return;
+        changes.borrow_and_update();
+        let listing = context.homes.own_listing();
+        let entry = NodeEntry {
+            lease_groups: context.wanted_leases(),
+            ..NodeEntry::own(&context.settings)
+        };
+        let listed = listing.as_ref().map(|listing| &listing.entry);
+        let now = Instant::now();
+        let is_due = match compare(listed, &entry) {
+            EntryState::Current => {
+                surplus_since = None;
+                false
+            }
+            EntryState::Surplus => now - *surplus_since.get_or_insert(now) >= SURPLUS_KEPT,
+            EntryState::Lacking => true,
+        };
+        if !is_due {
+            await_change(&context, &mut changes).await;
+            continue;
+        }
+        surplus_since = None;
+        match write_own(&context, listing.as_ref(), entry).await {
+            Some(version) => await_told(&context, &mut changes, version).await,
+            None => tokio::time::sleep(WRITE_PAUSE).await,
         }
-        tokio::time::sleep(WRITE_PAUSE).await;
     }
 }
 
-fn own_entry(context: &Context, leaving: bool) -> Write {
-    let entry = NodeEntry {
-        leaving,
-        ..NodeEntry::own(&context.settings)
+/// How a listed entry stands to the one that should be listed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EntryState {
+    /// It is the same.
+    Current,
+    /// It names more groups.
+    Surplus,
+    /// It is missing, lacks a group, or differs otherwise.
+    Lacking,
+}
+
+fn compare(listed: Option<&NodeEntry>, wanted: &NodeEntry) -> EntryState {
+    let Some(listed) = listed else {
+        return EntryState::Lacking;
+    };
+    if listed == wanted {
+        return EntryState::Current;
+    }
+    let with_groups = NodeEntry {
+        lease_groups: listed.lease_groups.clone(),
+        ..wanted.clone()
+    };
+    if *listed == with_groups && wanted.lease_groups.is_subset(&listed.lease_groups) {
+        EntryState::Surplus
+    } else {
+        EntryState::Lacking
+    }
+}
+
+/// Waits until the servers and the configuration have been read, for a while.
+async fn await_groups(context: &Context) {
+    let mut servers = context.directory_known.subscribe();
+    let mut configuration = context.configuration.subscribe();
+    let known = async {
+        // The senders live as long as the context.
+        let _ = servers.wait_for(|is_known| *is_known).await;
+        let _ = configuration.wait_for(Option::is_some).await;
+    };
+    // If the time passes, the node is listed without groups, and again with them.
+    let _ = timeout(GROUPS_LIMIT, known).await;
+}
+
+/// Waits for a change of the list, of this node's wants, or for the next look.
+async fn await_change(context: &Context, changes: &mut watch::Receiver<u64>) {
+    tokio::select! {
+        // The sender lives as long as the context.
+        _ = changes.changed() => {}
+        () = context.lease_wanted.notified() => {}
+        () = tokio::time::sleep(LOOK_INTERVAL) => {}
+        () = context.draining.cancelled() => {}
+    }
+}
+
+/// Waits until the list shows this node's entry of a version, for a while.
+async fn await_told(context: &Context, changes: &mut watch::Receiver<u64>, version: u64) {
+    let told = async {
+        loop {
+            let listing = context.homes.own_listing();
+            if listing.is_some_and(|listing| listing.version >= version) {
+                return;
+            }
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    };
+    // If the time passes, the entry is compared and written anew.
+    let _ = timeout(TOLD_LIMIT, told).await;
+}
+
+/// Writes this node's entry, if it is listed as it is known to be: a write that is carried out
+/// late must not replace a newer one. The version of the new row, or none if it was not written.
+async fn write_own(
+    context: &Context,
+    listing: Option<&ListedNode>,
+    entry: NodeEntry,
+) -> Option<u64> {
+    let key = context.settings.node.name.clone();
+    context.homes.claim(&entry.lease_groups);
+    let condition = Condition {
+        table: Table::Cluster,
+        key: key.clone(),
+        version: listing.map_or(0, |listing| listing.version),
     };
-    Write::Put {
+    let write = Write::Put {
         table: Table::Cluster,
-        key: context.settings.node.name.clone(),
+        key,
         value: Bytes::from(entry.serialize_bin()),
-    }
+    };
+    try_write(context, vec![condition], write).await
 }
 
 /// Tells that this node is about to end, if the store answers: others give it no more work, and
 /// still ask it before a primary that it may use is replaced.
 pub async fn list_leaving(context: &Context) {
-    try_write(context, Vec::new(), own_entry(context, true)).await;
+    for _ in 0..LEAVING_WRITES {
+        let listing = context.homes.own_listing();
+        let listed = listing.as_ref().map(|listing| listing.entry.clone());
+        let entry = NodeEntry {
+            leaving: true,
+            ..listed.unwrap_or_else(|| NodeEntry::own(&context.settings))
+        };
+        if write_own(context, listing.as_ref(), entry).await.is_some() {
+            return;
+        }
+        tokio::time::sleep(LEAVING_PAUSE).await;
+    }
 }
 
 /// Takes this node off the list, if the store answers.
@@ -71,12 +205,16 @@
     try_write(context, Vec::new(), Write::Remove { table, key }).await;
 }
 
-async fn try_write(context: &Context, conditions: Vec<Condition>, write: Write) -> bool {
+/// The version of the write; none if it was not made or the store does not tell.
+async fn try_write(context: &Context, conditions: Vec<Condition>, write: Write) -> Option<u64> {
     let call = context.store.transact(Transaction {
         conditions,
         writes: vec![write],
     });
-    matches!(timeout(WRITE_LIMIT, call).await, Ok(Ok(_)))
+    match timeout(WRITE_LIMIT, call).await {
+        Ok(Ok(TransactOutcome::Made(version))) => Some(version),
+        Ok(Ok(TransactOutcome::Conflict(_)) | Err(_)) | Err(_) => None,
+    }
 }
 
 /// Takes nodes off the list that this node could not reach for long; never returns.
@@ -100,31 +238,17 @@
 }
 
 /// Keeps the nodes as the store lists them, and takes in the groups' successions.
-pub struct ClusterSink {
-    context: Arc<Context>,
-    /// Whether this node has been seen on the list and not been taken off since.
-    is_listed: bool,
-}
+pub struct ClusterSink(pub Arc<Context>);
 
 fn listed(row: &Row) -> Option<ListedNode> {
-    Some(ListedNode {
-        entry: NodeEntry::deserialize_bin(&row.value).ok()?,
-        version: row.version,
-    })
-}
-
-impl ClusterSink {
-    /// A sink that knows no node yet.
-    pub fn new(context: Arc<Context>) -> Self {
-        let is_listed = false;
-        ClusterSink { context, is_listed }
-    }
-
-    /// Takes in whether this node is listed; lists it again if another one has taken it off.
-    fn note_own(&mut self, is_listed: bool) {
-        let was_listed = std::mem::replace(&mut self.is_listed, is_listed);
-        if was_listed && !is_listed {
-            tokio::spawn(list_self(Arc::clone(&self.context)));
+    match NodeEntry::deserialize_bin(&row.value) {
+        Ok(entry) => Some(ListedNode {
+            entry,
+            version: row.version,
+        }),
+        Err(_) => {
+            log_event!(events::ROW_MALFORMED, table = "cluster", key = row.key);
+            None
         }
     }
 }
@@ -133,19 +257,13 @@
     fn replace(&mut self, rows: &[Row]) {
         let (nodes, successions): (Vec<&Row>, Vec<&Row>) =
             rows.iter().partition(|row| is_node_row(row));
-        let now = self.context.clock.now();
-        self.context.homes.update(now, |known| {
-            known.clear();
-            let all = nodes.iter();
-            known.extend(all.filter_map(|row| Some((row.key.clone(), listed(row)?))));
-        });
+        let nodes = nodes.into_iter();
+        let nodes = nodes.filter_map(|row| Some((row.key.clone(), listed(row)?)));
+        self.0.homes.replace(nodes.collect(), self.0.clock.now());
         for row in successions {
             self.take_succession(row);
         }
-        share_connections(&self.context);
-        let own = &self.context.settings.node.name;
-        let is_listed = nodes.iter().any(|row| row.key == *own);
-        self.note_own(is_listed);
+        share_connections(&self.0);
     }
 
     fn change(&mut self, row: &Row) {
@@ -153,17 +271,9 @@
             self.take_succession(row);
             return;
         }
-        let now = self.context.clock.now();
-        self.context.homes.update(now, |nodes| {
-            match listed(row).filter(|_| !row.gone) {
-                Some(node) => nodes.insert(row.key.clone(), node),
-                None => nodes.remove(&row.key),
-            };
-        });
-        share_connections(&self.context);
-        if row.key == self.context.settings.node.name {
-            self.note_own(!row.gone);
-        }
+        let node = if row.gone { None } else { listed(row) };
+        self.0.homes.set(&row.key, node, self.0.clock.now());
+        share_connections(&self.0);
     }
 }
 
@@ -176,13 +286,9 @@
             log_event!(events::ROW_MALFORMED, table = "cluster", key = row.key);
             return;
         };
-        let group = self.context.group(group);
-        if self.context.take_succession(&group, &succession) {
-            tokio::spawn(yield_by_store(
-                Arc::clone(&self.context),
-                group,
-                succession.token,
-            ));
+        let group = self.0.group(group);
+        if self.0.take_succession(&group, &succession) {
+            tokio::spawn(yield_by_store(Arc::clone(&self.0), group, succession.token));
         }
     }
 }
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -12,7 +12,7 @@
 use spurpier_core::retry::RetryBudget;
 use spurpier_events::log_event;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -29,7 +29,7 @@
 use crate::homes::Homes;
 use crate::known_tables::KnownTables;
 use crate::log_budget::LogBudget;
-use crate::membership::{ClusterSink, list_leaving, list_self, unlist_lost, unlist_self};
+use crate::membership::{ClusterSink, keep_listed, list_leaving, unlist_lost, unlist_self};
 use crate::metrics::Metrics;
 use crate::ports::{
     ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
@@ -188,6 +188,8 @@
             store_lost: AtomicBool::new(false),
             store_regained_at: Mutex::default(),
             directory_known: watch::Sender::new(false),
+            holds_duty: AtomicBool::new(false),
+            lease_wanted: Notify::new(),
             known_tables: KnownTables::new(rand::rng().random()),
             metrics: Metrics::default(),
             log_budget: LogBudget::default(),
@@ -207,11 +209,11 @@
     tokio::spawn(follow(shared(), Table::Configuration, configuration));
     let servers = ServerSink::new(shared());
     tokio::spawn(follow(shared(), Table::Servers, servers));
-    tokio::spawn(follow(shared(), Table::Cluster, ClusterSink::new(shared())));
+    tokio::spawn(follow(shared(), Table::Cluster, ClusterSink(shared())));
     tokio::spawn(forget_gone(shared()));
     tokio::spawn(share_after_start(shared()));
     tokio::spawn(close_unused(shared()));
-    tokio::spawn(list_self(shared()));
+    tokio::spawn(keep_listed(shared()));
 }
 
 fn start_duty(context: &Arc<Context>, socket: UdpSocket) {
--- /dev/null
+++ b/crates/spurpier-pipeline/src/node_entry.rs
@@ -0,0 +1,106 @@
+//! What a node tells of itself in the store.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use nanoserde::{DeBin, DeBinErr, SerBin};
+use spurpier_core::homes::subject_digest;
+use spurpier_core::lead::RankedNode;
+use spurpier_core::membership::NodeKey;
+use spurpier_core::wire::{
+    List, decode_address, decode_long_text, decode_text, encode_address, encode_long_text,
+    encode_text,
+};
+
+use crate::settings::PipelineSettings;
+
+/// The least weight that a node can have: every node can be a home.
+const LEAST_WEIGHT: f64 = 0.01;
+
+/// What a node tells of itself in the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NodeEntry {
+    /// Where other nodes reach it: datagrams and forwarded units.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// How much it can do beside the others.
+    pub weight: f64,
+    /// Whether it is about to end: it is given no work, but may still do what it has.
+    pub leaving: bool,
+    /// The groups whose primary it may use under a lease; a decision on a group's primary asks
+    /// the nodes that name the group here, and no others.
+    pub lease_groups: BTreeSet<String>,
+}
+
+/// An entry as the store lists it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListedNode {
+    /// The entry.
+    pub entry: NodeEntry,
+    /// The version of its row.
+    pub version: u64,
+}
+
+impl NodeEntry {
+    /// What the node with these settings tells of itself.
+    pub fn own(settings: &PipelineSettings) -> Self {
+        NodeEntry {
+            address: settings.listen.internal,
+            zone: settings.node.zone.clone(),
+            weight: settings.node.weight,
+            leaving: false,
+            lease_groups: BTreeSet::new(),
+        }
+    }
+
+    /// The node as it is ranked under its name.
+    pub fn ranked(&self, name: &str) -> RankedNode {
+        RankedNode {
+            key: NodeKey(subject_digest(name)),
+            weight: self.weight.max(LEAST_WEIGHT),
+        }
+    }
+}
+
+/// A group's name as an entry carries it.
+struct GroupName(String);
+
+impl SerBin for GroupName {
+    fn ser_bin(&self, output: &mut Vec<u8>) {
+        encode_long_text(&self.0, output);
+    }
+}
+
+impl DeBin for GroupName {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Self, DeBinErr> {
+        decode_long_text(offset, bytes).map(|name| GroupName(name.to_owned()))
+    }
+}
+
+impl SerBin for NodeEntry {
+    fn ser_bin(&self, output: &mut Vec<u8>) {
+        encode_address(self.address, output);
+        encode_text(&self.zone, output);
+        self.weight.ser_bin(output);
+        self.leaving.ser_bin(output);
+        let groups = self.lease_groups.iter().cloned().map(GroupName);
+        List(groups.collect()).ser_bin(output);
+    }
+}
+
+impl DeBin for NodeEntry {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Self, DeBinErr> {
+        Ok(NodeEntry {
+            address: decode_address(offset, bytes)?,
+            zone: decode_text(offset, bytes)?.to_owned(),
+            weight: f64::de_bin(offset, bytes)?,
+            leaving: bool::de_bin(offset, bytes)?,
+            lease_groups: List::<GroupName>::de_bin(offset, bytes)?
+                .0
+                .into_iter()
+                .map(|name| name.0)
+                .collect(),
+        })
+    }
+}
--- a/crates/spurpier-pipeline/src/unit/lead.rs
+++ b/crates/spurpier-pipeline/src/unit/lead.rs
@@ -41,7 +41,7 @@
         changes.borrow_and_update();
         let candidate = group
             .lead_candidate(clock.now(), context.leaving_use())
-            .filter(|_| context.holds_lease());
+            .filter(|_| context.holds_lease(group));
         let mut missing = NotRun::NoLead;
         if let Some(server) = candidate.filter(|server| answers(server, clock.now())) {
             match server.pool.acquire(values, until).await {
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -133,7 +133,7 @@
         }
         let homes = self.context.homes_of(&self.group.name);
         let is_usable = |home: &&PeerNode| self.context.links.is_usable(home.address);
-        if !self.context.holds_lease() {
+        if !self.context.holds_lease(&self.group) {
             // What needs the lead, or a proof of it, cannot be done here.
             return homes.others.iter().find(is_usable).cloned();
         }
@@ -151,6 +151,12 @@
             .cloned()
     }
 
+    /// Takes in that this node runs the unit in the place of homes that it cannot reach.
+    pub fn stand_in(&self) {
+        self.group.stand_in(self.context.clock.now());
+        self.context.lease_wanted.notify_one();
+    }
+
     /// The server that would run such a statement, if units wait here for connections to it.
     fn crowded_server(&self, effect: Effect) -> Option<Arc<Server>> {
         let servers = self.group.servers();
