Ask other nodes for tables by version, and learn them from nodes at a start

Cause: a starting node read all tables from the store, and its first question to a watcher brought the whole table a second time, since it could not name what it knew.

A follower names the store's version up to which it knows a table. A starting node reads from the store only which nodes there are.

--- a/crates/spurpier-pipeline/src/follow/mod.rs
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -16,12 +16,12 @@
 use spurpier_core::retry::Backoff;
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::context::Context;
 use crate::events;
 use crate::homes::PeerNode;
-use crate::known_tables::{Cursor, News};
+use crate::known_tables::News;
 use crate::membership::is_node_row;
 use crate::ports::{ReadRows, Row, StoreError, Table};
 
@@ -48,6 +48,13 @@
 const STORE_AGAIN: Duration = Duration::from_secs(2);
 /// The pause after a change of the nodes, so that nodes which start together are told at once.
 const NODES_PAUSE: Duration = Duration::from_millis(250);
+/// The same for a node that has just started and does not know yet whom it can follow: a fleet that
+/// starts together takes more than a second to be listed.
+const FIRST_NODES_PAUSE: Duration = Duration::from_millis(1_000);
+/// For how long a node has just started.
+const FIRST_TIME: Duration = Duration::from_secs(3);
+/// How long a starting node waits for the list of nodes before it reads the other tables itself.
+const LIST_LIMIT: Duration = Duration::from_millis(800);
 
 /// What is done with the rows of a table.
 pub trait RowSink: Send {
@@ -71,9 +78,13 @@
         knows_rows: false,
         told_at: Timestamp::ZERO,
         store_clock: StoreClock::default(),
-        cursors: HashMap::new(),
         passed_over: HashMap::new(),
     };
+    if table != Table::Cluster {
+        // A starting node reads from the store which nodes there are, and asks these for the rest.
+        let limit = Instant::now() + LIST_LIMIT;
+        follower.context.homes.await_list(limit).await;
+    }
     loop {
         follower.step().await;
     }
@@ -94,8 +105,6 @@
     /// When the store last told of the table, to this node or to the one that it follows.
     told_at: Timestamp,
     store_clock: StoreClock,
-    /// Where this node stands in what others have told.
-    cursors: HashMap<String, Cursor>,
     passed_over: HashMap<String, Timestamp>,
 }
 
@@ -118,7 +127,8 @@
     /// The nodes to ask before the store; none if the store is to be asked.
     fn peers(&mut self) -> Vec<PeerNode> {
         let now = self.context.clock.now();
-        if !self.knows_rows {
+        if !self.knows_rows && self.table == Table::Cluster {
+            // Which other nodes there are is read there.
             return Vec::new();
         }
         let watchers = self.context.homes.watchers();
@@ -135,7 +145,7 @@
     }
 
     /// Takes in what another node tells, unless it knows less than this node.
-    fn take_news(&mut self, peer: &str, news: News, told_at: Timestamp) -> bool {
+    fn take_news(&mut self, news: News, told_at: Timestamp) -> bool {
         if self.version.is_some_and(|version| news.version < version) {
             return false;
         }
@@ -145,7 +155,6 @@
         } else {
             self.take_changes(&rows, news.version, told_at);
         }
-        self.cursors.insert(peer.to_owned(), news.cursor);
         true
     }
 
@@ -218,7 +227,13 @@
                 let told_at = self.moment_of(&changes, asked_at);
                 self.take_changes(&changes.rows, changes.version, told_at);
                 if self.table == Table::Cluster && changes.rows.iter().any(is_node_row) {
-                    tokio::time::sleep(NODES_PAUSE).await;
+                    let has_started = self.context.clock.runs_for() < FIRST_TIME;
+                    let pause = if has_started {
+                        FIRST_NODES_PAUSE
+                    } else {
+                        NODES_PAUSE
+                    };
+                    tokio::time::sleep(pause).await;
                 }
             }
             Ok(Err(StoreError::HistoryGone)) => self.version = None,
--- a/crates/spurpier-pipeline/src/follow/peer.rs
+++ b/crates/spurpier-pipeline/src/follow/peer.rs
@@ -9,10 +9,13 @@
 use crate::events;
 use crate::forward::{Call, Link, Outcome, Reply};
 use crate::homes::PeerNode;
-use crate::known_tables::{Cursor, News, table_number};
+use crate::known_tables::{News, table_number};
 
 /// How long one wait for a node's news lasts at most.
 const NEWS_WAIT: Duration = Duration::from_millis(1_200);
+/// How long a starting node waits for a node that does not know the table itself yet, as when all
+/// start together: about what reading it at the store takes.
+const FIRST_NEWS_WAIT: Duration = Duration::from_millis(400);
 /// How much longer than its wait a call for news may take.
 const NEWS_SLACK: Duration = Duration::from_millis(200);
 /// How long connecting to a node may take.
@@ -30,32 +33,25 @@
         let Some(link) = link.await else {
             return false;
         };
-        let cursor = self.cursors.get(&peer.name).copied();
         // What is known grows stale at this moment: the answer must come before.
         let fresh_for = (self.told_at + STALE).since(clock.now());
-        let wait = match cursor {
+        let wait = match self.version {
             Some(_) => NEWS_WAIT.min(fresh_for),
-            None => Duration::ZERO,
+            None => FIRST_NEWS_WAIT,
         };
         let asked_at = clock.now();
-        let Some(news) = self.call(&link, cursor, wait, wait + NEWS_SLACK).await else {
+        let Some(news) = self.call(&link, wait, wait + NEWS_SLACK).await else {
             return false;
         };
         let told_at = news.told_at(asked_at);
         let age = self.context.clock.now().since(told_at);
-        self.take_news(&peer.name, news, told_at) && age < STALE
+        self.take_news(news, told_at) && age < STALE
     }
 
-    async fn call(
-        &self,
-        link: &Link,
-        cursor: Option<Cursor>,
-        wait: Duration,
-        limit: Duration,
-    ) -> Option<News> {
+    async fn call(&self, link: &Link, wait: Duration, limit: Duration) -> Option<News> {
         let call = Call::Follow {
             table: table_number(self.table)?,
-            cursor,
+            version: self.version,
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         };
         let clock = &self.context.clock;
@@ -87,7 +83,7 @@
             return false;
         };
         let asked_at = self.context.clock.now();
-        let news = self.call(&link, None, Duration::ZERO, SEED_LIMIT).await;
+        let news = self.call(&link, Duration::ZERO, SEED_LIMIT).await;
         link.close();
         let Some(news) = news else {
             return false;
@@ -98,6 +94,6 @@
             rows = news.rows.0.len()
         );
         let told_at = news.told_at(asked_at);
-        self.take_news(&seed.to_string(), news, told_at)
+        self.take_news(news, told_at)
     }
 }
--- a/crates/spurpier-pipeline/src/forward/messages.rs
+++ b/crates/spurpier-pipeline/src/forward/messages.rs
@@ -11,7 +11,7 @@
 use spurpier_core::position::Position;
 use spurpier_core::wire::{List, decode_bytes, decode_long_text, encode_bytes, encode_long_text};
 
-use crate::known_tables::{Cursor, News};
+use crate::known_tables::News;
 use crate::ports::{
     Answer, Completion, Effect, ErrorClass, FreshnessKind, ServerError, TransactionState,
 };
@@ -19,7 +19,7 @@
 use crate::unit::{PreparedUse, Work};
 
 /// The version of the messages; nodes of different versions do not forward to each other.
-pub const VERSION: u16 = 2;
+pub const VERSION: u16 = 3;
 
 /// A message between a caller and the node that runs its calls.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
@@ -97,8 +97,8 @@
     Follow {
         /// The table's number.
         table: u8,
-        /// Where the caller stands in what the runner has told; none if it knows nothing.
-        cursor: Option<Cursor>,
+        /// The store's version up to which the caller knows the table; none if it knows nothing.
+        version: Option<u64>,
         /// For how long the runner waits for news, in milliseconds.
         wait_ms: u32,
     },
--- a/crates/spurpier-pipeline/src/forward/server.rs
+++ b/crates/spurpier-pipeline/src/forward/server.rs
@@ -19,7 +19,6 @@
 use super::stream::{MessageReader, prepare_socket, write_messages};
 use super::transaction::PlacedTransaction;
 use crate::context::Context;
-use crate::known_tables::Cursor;
 use crate::ports::{Answer, Effect, ErrorClass, Route, TransactionState};
 use crate::unit::{Times, Unit, Work};
 
@@ -199,20 +198,20 @@
             } => self.commit(transaction, &session, Work::from(work)).await,
             Call::Follow {
                 table,
-                cursor,
+                version,
                 wait_ms,
-            } => self.tell_news(table, cursor, duration(wait_ms)).await,
+            } => self.tell_news(table, version, duration(wait_ms)).await,
         }
     }
 
     /// Waits until there is something new of a table, and tells it; at the end of the wait only
     /// how old what is known has become.
-    async fn tell_news(&self, table: u8, cursor: Option<Cursor>, wait: Duration) -> Reply {
+    async fn tell_news(&self, table: u8, version: Option<u64>, wait: Duration) -> Reply {
         let called_at = self.context.clock.now();
         let known = &self.context.known_tables;
         let mut changes = known.changes();
         let news = async {
-            while !known.has_news(table, cursor) {
+            while !known.has_news(table, version) {
                 if changes.changed().await.is_err() {
                     return;
                 }
@@ -223,7 +222,7 @@
             // Those that follow this node are to follow another one.
             () = self.context.draining.cancelled() => return Reply::NotTaken,
         }
-        let news = known.news(table, cursor, called_at, self.context.clock.now());
+        let news = known.news(table, version, called_at, self.context.clock.now());
         news.map_or(Reply::NotTaken, Reply::News)
     }
 
--- a/crates/spurpier-pipeline/src/known_tables.rs
+++ b/crates/spurpier-pipeline/src/known_tables.rs
@@ -1,8 +1,8 @@
 //! The store's tables as this node last saw them, and what it tells of them to other nodes.
 //!
 //! Few nodes follow the store; the others follow one of these, and a node that the store does not
-//! answer follows any other. A node that follows is told the changes since the point that it
-//! names, or the whole table if these are not remembered.
+//! answer follows any other. A node that follows names the store's version up to which it knows the
+//! table, and is told what has changed since, or the whole table if that is not remembered.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -16,7 +16,7 @@
 
 use crate::ports::{Row, Table};
 
-/// Changes of one table that are remembered.
+/// Removed rows of one table that are remembered: a herd of 300 nodes leaves as many.
 const REMEMBERED: usize = 1_024;
 
 /// The tables that nodes follow, by the number that messages carry.
@@ -28,20 +28,9 @@
     u8::try_from(index).ok()
 }
 
-/// A point in what one life of a node has seen of a table.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
-pub struct Cursor {
-    /// The life.
-    pub life: u64,
-    /// How many changes it had seen.
-    pub changes: u64,
-}
-
 /// What a node tells of a table.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub struct News {
-    /// The point that it brings a follower to.
-    pub cursor: Cursor,
     /// Whether it is the whole table, so that rows which are not in it are gone.
     pub whole: bool,
     /// The store's version of it.
@@ -50,7 +39,7 @@
     pub age_ms: u32,
     /// How long the call was held before this was told, in milliseconds.
     pub held_ms: u32,
-    /// The rows, in the order of their changes.
+    /// The rows, in the order of their last changes.
     pub rows: List<ToldRow>,
 }
 
@@ -98,29 +87,42 @@
 #[derive(Debug, Default)]
 struct KnownTable {
     rows: BTreeMap<String, Row>,
+    /// The store's version up to which all changes are known.
     version: u64,
     /// When the store last told of it, on this node's clock; none before it did.
     told_at: Option<Timestamp>,
-    /// Changes since the beginning of this life, the last ones of which are remembered.
-    changes: u64,
-    remembered: VecDeque<Row>,
+    /// The version of the newest change up to that version.
+    changed_at: u64,
+    /// The last removed rows, oldest first.
+    removed: VecDeque<Row>,
+    /// The version from which on all removals are remembered.
+    remembered_since: u64,
 }
 
 impl KnownTable {
     /// Takes in the whole table as of a version, but for newer rows that were told ahead of it.
-    /// Tells whether that changes anything.
-    fn replace_rows(&mut self, rows: &[Row], version: u64) -> bool {
-        let ahead = self.rows.values().filter(|row| row.version > version);
-        let mut replaced: BTreeMap<String, Row> =
-            ahead.map(|row| (row.key.clone(), row.clone())).collect();
-        for row in rows {
-            let key = row.key.clone();
-            replaced.entry(key).or_insert_with(|| row.clone());
+    fn replace_rows(&mut self, rows: &[Row], version: u64) {
+        if self.told_at.is_none() {
+            self.remembered_since = version;
         }
-        // The first time, also of an empty table, counts as a change.
-        let has_changed = self.changes == 0 || replaced != self.rows;
+        let mut replaced: BTreeMap<String, Row> = rows
+            .iter()
+            .map(|row| (row.key.clone(), row.clone()))
+            .collect();
+        let known = std::mem::take(&mut self.rows);
+        for (key, row) in known {
+            match replaced.get(&key) {
+                Some(newer) if newer.version >= row.version => {}
+                None if row.version <= version => self.remember_removal(key, version),
+                _ => {
+                    replaced.insert(key, row);
+                }
+            }
+        }
+        let changed = replaced.values().map(|row| row.version);
+        let changed = changed.filter(|changed| *changed <= version).max();
+        self.changed_at = self.changed_at.max(changed.unwrap_or(0));
         self.rows = replaced;
-        has_changed
     }
 
     /// Takes in a changed row, unless a newer one is known.
@@ -130,44 +132,53 @@
             return;
         }
         if row.gone {
-            self.rows.remove(&row.key);
+            if self.rows.remove(&row.key).is_some() {
+                self.remember_removal(row.key.clone(), row.version);
+            }
         } else {
             self.rows.insert(row.key.clone(), row.clone());
         }
-        self.remember(row);
     }
 
-    fn remember(&mut self, row: &Row) {
-        self.changes += 1;
-        self.remembered.push_back(row.clone());
-        if self.remembered.len() > REMEMBERED {
-            self.remembered.pop_front();
+    fn remember_removal(&mut self, key: String, version: u64) {
+        self.changed_at = self.changed_at.max(version);
+        self.removed.push_back(Row {
+            key,
+            value: Bytes::new(),
+            version,
+            gone: true,
+        });
+        if self.removed.len() > REMEMBERED
+            && let Some(forgotten) = self.removed.pop_front()
+        {
+            self.remembered_since = self.remembered_since.max(forgotten.version);
         }
     }
 
-    /// The changes behind a point; none if they are not all remembered.
-    fn since(&self, changes: u64) -> Option<Vec<ToldRow>> {
-        let missing = usize::try_from(self.changes.checked_sub(changes)?).ok()?;
-        let first = self.remembered.len().checked_sub(missing)?;
-        let rows = self.remembered.range(first..);
-        Some(rows.cloned().map(ToldRow).collect())
+    /// What has changed since a version, in the order of the changes; none if it is not all
+    /// remembered.
+    fn since(&self, version: u64) -> Option<Vec<ToldRow>> {
+        if version < self.remembered_since {
+            return None;
+        }
+        let rows = self.rows.values().chain(&self.removed);
+        let mut changed: Vec<&Row> = rows.filter(|row| row.version > version).collect();
+        changed.sort_by_key(|row| row.version);
+        Some(changed.into_iter().cloned().map(ToldRow).collect())
     }
 }
 
 /// The tables as this node last saw them.
 #[derive(Debug)]
 pub struct KnownTables {
-    /// Tells this life from others.
-    life: u64,
     tables: Mutex<[KnownTable; FOLLOWED.len()]>,
     changed: watch::Sender<u64>,
 }
 
 impl KnownTables {
-    /// Nothing is known yet; `life` differs from that of every other process.
-    pub fn new(life: u64) -> Self {
+    /// Nothing is known yet.
+    pub fn new() -> Self {
         KnownTables {
-            life,
             tables: Mutex::default(),
             changed: watch::Sender::new(0),
         }
@@ -176,15 +187,9 @@
     /// Takes in a whole table, as the store told it at `told_at`.
     pub fn replace(&self, table: Table, rows: &[Row], version: u64, told_at: Timestamp) {
         self.update(table, |known| {
+            known.replace_rows(rows, version);
             known.told_at = known.told_at.max(Some(told_at));
             known.version = known.version.max(version);
-            if !known.replace_rows(rows, version) {
-                // Two nodes that follow each other would go on telling each other all of it.
-                return;
-            }
-            // Those that follow must be told the whole table: a change of which none remembers.
-            known.changes += 1;
-            known.remembered.clear();
         });
     }
 
@@ -193,6 +198,7 @@
         self.update(table, |known| {
             for row in rows {
                 known.take(row);
+                known.changed_at = known.changed_at.max(row.version);
             }
             known.version = known.version.max(version);
             known.told_at = known.told_at.max(Some(told_at));
@@ -223,9 +229,9 @@
         let has_changed = {
             let mut tables = self.lock();
             let known = &mut tables[usize::from(number)];
-            let before = known.changes;
+            let before = (known.changed_at, known.told_at.is_some());
             change(known);
-            known.changes != before
+            (known.changed_at, known.told_at.is_some()) != before
         };
         if has_changed {
             self.changed.send_modify(|count| *count += 1);
@@ -237,40 +243,31 @@
         self.changed.subscribe()
     }
 
-    /// Whether there is anything behind a point of a table.
-    pub fn has_news(&self, number: u8, cursor: Option<Cursor>) -> bool {
+    /// Whether a table has changed since a version, or is known to this node and not to the caller.
+    pub fn has_news(&self, number: u8, version: Option<u64>) -> bool {
         let tables = self.lock();
         let Some(known) = tables.get(usize::from(number)) else {
             return false;
         };
-        let at = Cursor {
-            life: self.life,
-            changes: known.changes,
-        };
-        known.told_at.is_some() && cursor != Some(at)
+        known.told_at.is_some() && version.is_none_or(|version| known.changed_at > version)
     }
 
-    /// What is to be told now of a table behind a point, to a call that came at `called_at`; none
-    /// if nothing is known of the table.
+    /// What is to be told now of a table to a node that knows it up to a version, in answer to a
+    /// call that came at `called_at`; none if nothing is known of the table.
     pub fn news(
         &self,
         number: u8,
-        cursor: Option<Cursor>,
+        version: Option<u64>,
         called_at: Timestamp,
         now: Timestamp,
     ) -> Option<News> {
         let tables = self.lock();
         let known = tables.get(usize::from(number))?;
         let age = now.since(known.told_at?);
-        let own = cursor.filter(|cursor| cursor.life == self.life);
-        let changes = own.and_then(|cursor| known.since(cursor.changes));
+        let changes = version.and_then(|version| known.since(version));
         let whole = changes.is_none();
         let all = || known.rows.values().cloned().map(ToldRow).collect();
         Some(News {
-            cursor: Cursor {
-                life: self.life,
-                changes: known.changes,
-            },
             whole,
             version: known.version,
             // Rounded so that what is told is never taken for younger than it is.
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use rand::RngExt;
 use spurpier_core::retry::RetryBudget;
 use spurpier_events::log_event;
 use tokio::net::{TcpListener, UdpSocket};
@@ -190,7 +189,7 @@
             directory_known: watch::Sender::new(false),
             holds_duty: AtomicBool::new(false),
             lease_wanted: Notify::new(),
-            known_tables: KnownTables::new(rand::rng().random()),
+            known_tables: KnownTables::new(),
             metrics: Metrics::default(),
             log_budget: LogBudget::default(),
             forwarded: TaskTracker::new(),
