Start a fleet with few calls, and wait longer where the bounds allow

At the first start of the whole system a node lists itself, and asks who is there two seconds later. A wait for the configuration lasts up to four fifths of the time in which it must be in force. A watcher that learnt a table from a node asks the store once without a wait, else its news count as one wait too old; the test of eleven nodes failed on that.

--- a/crates/spurpier-pipeline/src/follow/mod.rs
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -5,6 +5,7 @@
 //! what it tells is as fresh as the store's own news would be. A watcher that the store does not
 //! answer follows another one, and a node that no watcher serves follows the store.
 
+mod patience;
 mod peer;
 mod store_clock;
 
@@ -25,20 +26,11 @@
 use crate::membership::is_node_row;
 use crate::ports::{ReadRows, Row, StoreError, Table};
 
+use self::patience::{CHANGES_SLACK, Patience};
 use self::store_clock::StoreClock;
 
 /// How long a whole read may take.
 const READ_LIMIT: Duration = Duration::from_millis(1_000);
-/// How long one wait for changes lasts at most. A connection whose answers are lost stays silent,
-/// so that wait and slack together bound how late a change is taken in.
-const CHANGES_WAIT: Duration = Duration::from_millis(1_800);
-/// How much longer than its wait a call for changes may take.
-const CHANGES_SLACK: Duration = Duration::from_millis(600);
-/// The age from which on what another node tells is too old: as old as the store's own news get.
-const STALE: Duration = Duration::from_millis(2_500);
-/// News that are so much younger than those before tell that the store was away: longer than one
-/// wait for changes.
-const AWAY: Duration = Duration::from_millis(2_100);
 /// The pauses after failed calls.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
@@ -48,11 +40,9 @@
 const STORE_AGAIN: Duration = Duration::from_secs(2);
 /// The pause after a change of the nodes, so that nodes which start together are told at once.
 const NODES_PAUSE: Duration = Duration::from_millis(250);
-/// The same for a node that has just started and does not know yet whom it can follow: a fleet that
-/// starts together takes more than a second to be listed.
-const FIRST_NODES_PAUSE: Duration = Duration::from_millis(1_000);
-/// For how long a node has just started.
-const FIRST_TIME: Duration = Duration::from_secs(3);
+/// How long the nodes wait for each other to be listed at the first start of the whole system: the
+/// store takes 200 writes a second, and 295 nodes write one each.
+const FLEET_LISTED: Duration = Duration::from_millis(2_000);
 /// How long a starting node waits for the list of nodes before it reads the other tables itself.
 const LIST_LIMIT: Duration = Duration::from_millis(800);
 
@@ -68,6 +58,7 @@
 /// Follows a table; never returns.
 pub async fn follow(context: Arc<Context>, table: Table, sink: impl RowSink) {
     let mut follower = Follower {
+        patience: Patience::of(table, &context.settings.bounds),
         context,
         table,
         sink,
@@ -80,11 +71,7 @@
         store_clock: StoreClock::default(),
         passed_over: HashMap::new(),
     };
-    if table != Table::Cluster {
-        // A starting node reads from the store which nodes there are, and asks these for the rest.
-        let limit = Instant::now() + LIST_LIMIT;
-        follower.context.homes.await_list(limit).await;
-    }
+    follower.await_others().await;
     loop {
         follower.step().await;
     }
@@ -93,6 +80,7 @@
 struct Follower<S> {
     context: Arc<Context>,
     table: Table,
+    patience: Patience,
     sink: S,
     backoff: Backoff,
     /// Whether the store left the last call without an answer.
@@ -109,6 +97,23 @@
 }
 
 impl<S: RowSink> Follower<S> {
+    /// Before the first call: a starting node reads from the store which nodes there are, and asks
+    /// these for the rest.
+    async fn await_others(&self) {
+        let first_start = self.context.settings.node.first_start;
+        let listed_in = if first_start {
+            FLEET_LISTED
+        } else {
+            Duration::ZERO
+        };
+        if self.table == Table::Cluster {
+            tokio::time::sleep(listed_in).await;
+        } else {
+            let limit = Instant::now() + listed_in + LIST_LIMIT;
+            self.context.homes.await_list(limit).await;
+        }
+    }
+
     /// One call, at the node or the store that is followed.
     async fn step(&mut self) {
         for peer in self.peers() {
@@ -179,7 +184,7 @@
 
     /// Takes in that the store was away, if its news make a leap.
     fn note_absence(&mut self, told_at: Timestamp) {
-        if self.knows_rows && told_at.since(self.told_at) > AWAY {
+        if self.knows_rows && told_at.since(self.told_at) > self.patience.away() {
             let regained_at = &self.context.store_regained_at;
             let mut regained_at = regained_at.lock().unwrap_or_else(PoisonError::into_inner);
             *regained_at = Some(self.context.clock.now());
@@ -213,11 +218,12 @@
 
     /// Waits for changes after a version and takes them in.
     async fn ask_changes(&mut self, version: u64) {
-        // A store that was just lost is asked with a short wait, so that its return is seen.
-        let wait = if self.lost {
+        // A store that was just lost is asked without a wait, so that its return is seen, and one
+        // that was not asked before, so that its clock is known well.
+        let wait = if self.lost || !self.store_clock.is_known() {
             Duration::ZERO
         } else {
-            CHANGES_WAIT
+            self.patience.wait
         };
         let asked_at = self.context.clock.now();
         let call = self.context.store.changes(self.table, version, wait);
@@ -227,13 +233,7 @@
                 let told_at = self.moment_of(&changes, asked_at);
                 self.take_changes(&changes.rows, changes.version, told_at);
                 if self.table == Table::Cluster && changes.rows.iter().any(is_node_row) {
-                    let has_started = self.context.clock.runs_for() < FIRST_TIME;
-                    let pause = if has_started {
-                        FIRST_NODES_PAUSE
-                    } else {
-                        NODES_PAUSE
-                    };
-                    tokio::time::sleep(pause).await;
+                    tokio::time::sleep(NODES_PAUSE).await;
                 }
             }
             Ok(Err(StoreError::HistoryGone)) => self.version = None,
--- /dev/null
+++ b/crates/spurpier-pipeline/src/follow/patience.rs
@@ -0,0 +1,55 @@
+//! How long one wait for a table's changes may last, and how old its news may get.
+
+use std::time::Duration;
+
+use crate::ports::Table;
+use crate::settings::BoundSettings;
+
+/// How much longer than its wait a call for changes may take.
+pub const CHANGES_SLACK: Duration = Duration::from_millis(600);
+/// The shortest wait: each call is paid for.
+const SHORTEST_WAIT: Duration = Duration::from_millis(600);
+/// Within what a change of the nodes or of a succession must be known. Leases of ten seconds begin
+/// with the news of this table, and must outlast a store that is away for five or six.
+const CLUSTER_KNOWN: Duration = Duration::from_millis(2_400);
+/// How much older than one wait and its slack news may be before they count as stale.
+const STALE_MARGIN: Duration = Duration::from_millis(100);
+/// News that are so much younger than those before them than one wait explains tell that the store
+/// was away.
+const AWAY_MARGIN: Duration = Duration::from_millis(300);
+
+/// The limits in time of following one table.
+///
+/// A connection whose answers are lost stays silent, so that a wait and its slack together bound how
+/// late a change is taken in. A longer wait costs fewer calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// How long one wait for changes lasts at most.
+    pub wait: Duration,
+}
+
+impl Patience {
+    /// The limits of a table: four fifths of the time within which a configuration must be in force,
+    /// half of that for which a server that leaves may still be given work.
+    pub fn of(table: Table, bounds: &BoundSettings) -> Self {
+        let known_within = match table {
+            Table::Configuration => Duration::from_millis(bounds.configuration_apply_ms) * 4 / 5,
+            Table::Servers => Duration::from_millis(bounds.server_drain_ms) / 2,
+            Table::Cluster | Table::Duty => CLUSTER_KNOWN,
+        };
+        let wait = known_within.saturating_sub(CHANGES_SLACK);
+        Patience {
+            wait: wait.max(SHORTEST_WAIT),
+        }
+    }
+
+    /// The age from which on what another node tells is too old: as old as the store's own news get.
+    pub fn stale(self) -> Duration {
+        self.wait + CHANGES_SLACK + STALE_MARGIN
+    }
+
+    /// News that are so much younger than those before tell that the store was away.
+    pub fn away(self) -> Duration {
+        self.wait + AWAY_MARGIN
+    }
+}
--- a/crates/spurpier-pipeline/src/follow/peer.rs
+++ b/crates/spurpier-pipeline/src/follow/peer.rs
@@ -5,7 +5,7 @@
 
 use spurpier_events::log_event;
 
-use super::{Follower, RowSink, STALE};
+use super::{Follower, RowSink};
 use crate::events;
 use crate::forward::{Call, Link, Outcome, Reply};
 use crate::homes::PeerNode;
@@ -34,7 +34,7 @@
             return false;
         };
         // What is known grows stale at this moment: the answer must come before.
-        let fresh_for = (self.told_at + STALE).since(clock.now());
+        let fresh_for = (self.told_at + self.patience.stale()).since(clock.now());
         let wait = match self.version {
             Some(_) => NEWS_WAIT.min(fresh_for),
             None => FIRST_NEWS_WAIT,
@@ -45,7 +45,7 @@
         };
         let told_at = news.told_at(asked_at);
         let age = self.context.clock.now().since(told_at);
-        self.take_news(news, told_at) && age < STALE
+        self.take_news(news, told_at) && age < self.patience.stale()
     }
 
     async fn call(&self, link: &Link, wait: Duration, limit: Duration) -> Option<News> {
--- a/crates/spurpier-pipeline/src/follow/store_clock.rs
+++ b/crates/spurpier-pipeline/src/follow/store_clock.rs
@@ -18,6 +18,11 @@
 }
 
 impl StoreClock {
+    /// Whether the store's clock has been seen: as precisely as that question was answered fast.
+    pub fn is_known(&self) -> bool {
+        self.known.is_some()
+    }
+
     /// The earliest moment at which the store can have answered a question that left at `asked_at`
     /// and whose answer is read `now`; `store_now` is what its clock showed then.
     pub fn moment_of(
--- a/crates/spurpier-pipeline/src/membership.rs
+++ b/crates/spurpier-pipeline/src/membership.rs
@@ -57,8 +57,10 @@
 /// Keeps this node listed with the groups whose primary it uses; returns when the node drains.
 pub async fn keep_listed(context: Arc<Context>) {
     let mut changes = context.homes.changes();
-    context.homes.await_list(Instant::now() + LIST_LIMIT).await;
-    await_groups(&context).await;
+    if !context.settings.node.first_start {
+        context.homes.await_list(Instant::now() + LIST_LIMIT).await;
+        await_groups(&context).await;
+    }
     let mut surplus_since = None;
     while !context.draining.is_cancelled() {
         changes.borrow_and_update();
--- a/crates/spurpier-pipeline/src/settings.rs
+++ b/crates/spurpier-pipeline/src/settings.rs
@@ -38,6 +38,9 @@
     /// many groups.
     #[serde(default = "default_weight")]
     pub weight: f64,
+    /// Whether the whole system starts for the first time, so that no node is listed yet.
+    #[serde(default)]
+    pub first_start: bool,
 }
 
 fn default_weight() -> f64 {
@@ -74,6 +77,8 @@
     pub server_drain_ms: u64,
     /// How long a node may take to end after SIGTERM, in milliseconds.
     pub grace_ms: u64,
+    /// Within what a new configuration must be in force everywhere, in milliseconds.
+    pub configuration_apply_ms: u64,
 }
 
 impl Default for BoundSettings {
@@ -81,6 +86,7 @@
         BoundSettings {
             server_drain_ms: 7_000,
             grace_ms: 6_000,
+            configuration_apply_ms: 3_000,
         }
     }
 }
--- a/crates/spurpier/src/settings/check.rs
+++ b/crates/spurpier/src/settings/check.rs
@@ -171,6 +171,7 @@
         (Shape::Positive, DeValue::Float(number)) => {
             check_positive(collector, name, span, number.as_str());
         }
+        (Shape::Boolean, DeValue::Boolean(_)) => {}
         (Shape::Text | Shape::Choice(_) | Shape::Address | Shape::Url, DeValue::String(text)) => {
             if let Some(message) = text_fault(name, text, shape) {
                 collector.error(span, message);
@@ -229,6 +230,7 @@
             format!("a whole number between {least} and {greatest}")
         }
         Shape::Positive => "a number above zero".to_owned(),
+        Shape::Boolean => "`true` or `false`".to_owned(),
         Shape::Address => "an IP address with a port, as in 127.0.0.1:6432".to_owned(),
         Shape::Addresses => "a list of IP addresses with ports".to_owned(),
         Shape::Url => "the address of an HTTP service, as in http://127.0.0.1:6400".to_owned(),
--- a/crates/spurpier/src/settings/gateway_schema.rs
+++ b/crates/spurpier/src/settings/gateway_schema.rs
@@ -29,6 +29,12 @@
         Absent::Default("1.0"),
         "How much it can do beside the other nodes, as its share of a processor: a node of twice the weight holds the connections of twice as many groups.",
     ),
+    key(
+        "first_start",
+        Shape::Boolean,
+        Absent::Default("false"),
+        "Whether the whole system starts for the first time: the node lists itself and waits until the others have, before it asks who is there.",
+    ),
 ];
 
 const LISTEN: &[Key] = &[
@@ -86,6 +92,12 @@
         "6000",
         "How long a node may take to end after SIGTERM, in milliseconds.",
     ),
+    milliseconds(
+        "configuration_apply_ms",
+        1_000,
+        "3000",
+        "Within what a new configuration must be in force everywhere, in milliseconds: bounds how long one wait for a new one lasts.",
+    ),
 ];
 
 /// The settings file of `spurpier gateway`.
--- a/crates/spurpier/tests/gateway_settings.rs
+++ b/crates/spurpier/tests/gateway_settings.rs
@@ -30,6 +30,8 @@
         ("limits.cpu-share", "0.25"),
         ("bounds.drain-ms", "7000"),
         ("bounds.grace-s", "6"),
+        ("first-start", "true"),
+        ("bounds.configuration-apply-ms", "3000"),
     ] {
         let gap = format!("{{{{{gap}}}}}");
         assert!(text.contains(&gap), "{gap} stands in the template");
@@ -49,6 +51,7 @@
     assert_eq!(settings.listen.internal.to_string(), "10.1.0.8:7440");
     assert_eq!(settings.zones["namur-hal"], "wallonie");
     assert_eq!(settings.node.weight, 0.25);
+    assert!(settings.node.first_start);
     assert_eq!(settings.bounds, BoundSettings::default());
 }
 
@@ -74,6 +77,7 @@
     let text = filled_template()
         .replace("10.1.0.8:8784", "nowhere")
         .replace("weight = 0.25", "weight = -0.25")
+        .replace("first_start = true", "first_start = 1")
         .replace("grace_ms = 6000", "grace_ms = \"long\"")
         .replace("[bounds]", "[bounds]\nserver_drian_ms = 1")
         .replace("zone = \"gent-hal\"\n", "");
@@ -81,6 +85,7 @@
     for expected in [
         "`client` must be an IP address",
         "`weight` must be above zero, not -0.25",
+        "`first_start` must be `true` or `false`",
         "`grace_ms` must be a whole number",
         "did you mean `server_drain_ms`?",
         "the key `zone` is missing",
