Tell when another node's news of a table were of no use, and how old each table is

Sight, no change of logic. The incident's three hypotheses could not be told apart from a gateway's own log and metrics: nothing said that a node had given up another one's news, how many bytes of it had come meanwhile, or how old what it knew was.

Event 6015 news_missed names table, node, why, the time waited and the bytes received; missed_news_total counts the reasons, table_age_ms gives the age of each table. Bytes count as they come, not by whole messages. With these, transfers that are given up while they move show as 'unanswered' with received_bytes well above 0, a watcher that learns late as 'stale' or 'behind', and a version that runs ahead of its rows as none of these with a young table.

--- a/crates/spurpier-pipeline/src/follow/peer.rs
+++ b/crates/spurpier-pipeline/src/follow/peer.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
 
 use super::{Follower, RowSink};
@@ -23,16 +24,81 @@
 /// How long a seed may take to answer.
 const SEED_LIMIT: Duration = Duration::from_millis(600);
 
+/// Why asking another node for a table was of no use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Missed {
+    /// It cannot be reached.
+    Unreachable,
+    /// No whole answer came in time.
+    Unanswered,
+    /// It does not know the table, or is about to end.
+    NotTaken,
+    /// It knows less than this node.
+    Behind,
+    /// What it told is too old.
+    Stale,
+}
+
+impl Missed {
+    const fn text(self) -> &'static str {
+        match self {
+            Missed::Unreachable => "unreachable",
+            Missed::Unanswered => "unanswered",
+            Missed::NotTaken => "not_taken",
+            Missed::Behind => "behind",
+            Missed::Stale => "stale",
+        }
+    }
+}
+
 impl<S: RowSink> Follower<S> {
     /// Waits for what another node tells; false if it told nothing, or nothing that is fresh.
     pub(super) async fn ask_peer(&mut self, peer: &PeerNode) -> bool {
+        let asked_at = self.context.clock.now();
+        let mut received_bytes = 0;
+        match self.news_of_peer(peer, &mut received_bytes).await {
+            Ok(()) => true,
+            Err(missed) => {
+                self.note_missed(peer, missed, asked_at, received_bytes);
+                false
+            }
+        }
+    }
+
+    fn note_missed(
+        &self,
+        peer: &PeerNode,
+        missed: Missed,
+        asked_at: Timestamp,
+        received_bytes: u64,
+    ) {
+        let context = &self.context;
+        context.metrics.count_missed_news(missed.text());
+        let now = context.clock.now();
+        if let Some(suppressed) = context.log_budget.take(events::NEWS_MISSED, now) {
+            log_event!(
+                events::NEWS_MISSED,
+                table = format!("{:?}", self.table),
+                node = peer.name,
+                why = missed.text(),
+                waited_ms = now.since(asked_at).as_millis(),
+                received_bytes = received_bytes,
+                suppressed = suppressed
+            );
+        }
+    }
+
+    /// Takes in what another node tells; counts the bytes that came from it meanwhile.
+    async fn news_of_peer(
+        &mut self,
+        peer: &PeerNode,
+        received_bytes: &mut u64,
+    ) -> Result<(), Missed> {
         let context = &self.context;
         let clock = &context.clock;
         let connect_until = clock.now() + CONNECT_LIMIT;
         let link = context.links.link(peer.address, clock, connect_until);
-        let Some(link) = link.await else {
-            return false;
-        };
+        let link = link.await.ok_or(Missed::Unreachable)?;
         // What is known grows stale at this moment: the answer must come before.
         let fresh_for = (self.told_at + self.patience.stale()).since(clock.now());
         let wait = match self.version {
@@ -40,25 +106,33 @@
             None => FIRST_NEWS_WAIT,
         };
         let asked_at = clock.now();
-        let Some(news) = self.call(&link, wait, wait + NEWS_SLACK).await else {
-            return false;
-        };
+        let received_before = link.received_bytes();
+        let answered = self.call(&link, wait, wait + NEWS_SLACK).await;
+        *received_bytes = link.received_bytes() - received_before;
+        let news = answered?;
         let told_at = news.told_at(asked_at);
         let age = self.context.clock.now().since(told_at);
-        self.take_news(news, told_at) && age < self.patience.stale()
+        if !self.take_news(news, told_at) {
+            return Err(Missed::Behind);
+        }
+        if age >= self.patience.stale() {
+            return Err(Missed::Stale);
+        }
+        Ok(())
     }
 
-    async fn call(&self, link: &Link, wait: Duration, limit: Duration) -> Option<News> {
+    async fn call(&self, link: &Link, wait: Duration, limit: Duration) -> Result<News, Missed> {
         let call = Call::Follow {
-            table: table_number(self.table)?,
+            table: table_number(self.table).ok_or(Missed::NotTaken)?,
             version: self.version,
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         };
         let clock = &self.context.clock;
         let end = clock.instant(clock.now() + limit);
         match link.call_until(call, end, true).await {
-            Outcome::Replied(Reply::News(news)) => Some(news),
-            _ => None,
+            Outcome::Replied(Reply::News(news)) => Ok(news),
+            Outcome::Replied(Reply::NotTaken | Reply::Answered(_)) => Err(Missed::NotTaken),
+            Outcome::NotSent | Outcome::Lost => Err(Missed::Unanswered),
         }
     }
 
@@ -85,7 +159,7 @@
         let asked_at = self.context.clock.now();
         let news = self.call(&link, Duration::ZERO, SEED_LIMIT).await;
         link.close();
-        let Some(news) = news else {
+        let Ok(news) = news else {
             return false;
         };
         log_event!(
--- a/crates/spurpier-pipeline/src/forward/link.rs
+++ b/crates/spurpier-pipeline/src/forward/link.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::messages::{Call, LinkMessage, Reply, VERSION};
-use super::stream::{MessageReader, prepare_socket, write_messages};
+use super::stream::{Incoming, MessageReader, prepare_socket, write_messages};
 
 /// How long opening a connection may take.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
@@ -58,6 +58,7 @@
     next_number: AtomicU64,
     /// Since when a message has been sent and none has come; none while the node answers.
     unanswered_since: Mutex<Option<Instant>>,
+    received_bytes: AtomicU64,
     closed: CancellationToken,
 }
 
@@ -75,6 +76,7 @@
             pending: Mutex::default(),
             next_number: AtomicU64::new(1),
             unanswered_since: Mutex::new(None),
+            received_bytes: AtomicU64::new(0),
             closed: CancellationToken::new(),
         });
         tokio::spawn(write_messages(output, queue, link.closed.clone()));
@@ -97,6 +99,11 @@
         !self.is_open() || self.silent_for() >= SUSPECT_AFTER
     }
 
+    /// How many bytes have come on this connection.
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes.load(Ordering::Relaxed)
+    }
+
     /// A number for a transaction, unique on this connection.
     pub fn next_number(&self) -> u64 {
         self.next_number.fetch_add(1, Ordering::Relaxed)
@@ -165,6 +172,11 @@
         self.unanswered().get_or_insert_with(Instant::now);
     }
 
+    fn note_bytes(&self, length: usize) {
+        let length = u64::try_from(length).unwrap_or(u64::MAX);
+        self.received_bytes.fetch_add(length, Ordering::Relaxed);
+    }
+
     fn note_heard(&self) {
         *self.unanswered() = None;
     }
@@ -203,7 +215,14 @@
     }
 
     async fn read(&self, mut reader: MessageReader) {
-        while let Some(message) = reader.next().await {
+        while let Some(incoming) = reader.receive().await {
+            let message = match incoming {
+                Incoming::Message(message) => message,
+                Incoming::Bytes(length) => {
+                    self.note_bytes(length);
+                    continue;
+                }
+            };
             self.note_heard();
             match message {
                 LinkMessage::Reply { number, reply } => {
--- a/crates/spurpier-pipeline/src/forward/stream.rs
+++ b/crates/spurpier-pipeline/src/forward/stream.rs
@@ -26,6 +26,15 @@
     socket2::SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
+/// What came on a connection.
+#[derive(Debug)]
+pub enum Incoming {
+    /// So many bytes, which may be a part of a message.
+    Bytes(usize),
+    /// A whole message.
+    Message(LinkMessage),
+}
+
 /// Reads messages.
 pub struct MessageReader {
     stream: OwnedReadHalf,
@@ -42,13 +51,21 @@
     /// The next message; none at the end of the connection or after bytes that are none.
     pub async fn next(&mut self) -> Option<LinkMessage> {
         loop {
-            if let Some(message) = decode_framed(&mut self.input).ok()? {
+            if let Incoming::Message(message) = self.receive().await? {
                 return Some(message);
             }
-            self.input.reserve(READ_SIZE);
-            if self.stream.read_buf(&mut self.input).await.ok()? == 0 {
-                return None;
-            }
+        }
+    }
+
+    /// What comes next, told as soon as it comes; none as for [`MessageReader::next`].
+    pub async fn receive(&mut self) -> Option<Incoming> {
+        if let Some(message) = decode_framed(&mut self.input).ok()? {
+            return Some(Incoming::Message(message));
+        }
+        self.input.reserve(READ_SIZE);
+        match self.stream.read_buf(&mut self.input).await.ok()? {
+            0 => None,
+            length => Some(Incoming::Bytes(length)),
         }
     }
 }
--- a/crates/spurpier-pipeline/src/known_tables.rs
+++ b/crates/spurpier-pipeline/src/known_tables.rs
@@ -20,7 +20,7 @@
 const REMEMBERED: usize = 1_024;
 
 /// The tables that nodes follow, by the number that messages carry.
-const FOLLOWED: [Table; 3] = [Table::Configuration, Table::Servers, Table::Cluster];
+pub const FOLLOWED: [Table; 3] = [Table::Configuration, Table::Servers, Table::Cluster];
 
 /// The number by which messages name a table; none if nodes do not tell each other of it.
 pub fn table_number(table: Table) -> Option<u8> {
--- a/crates/spurpier-pipeline/src/metrics.rs
+++ b/crates/spurpier-pipeline/src/metrics.rs
@@ -14,6 +14,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::context::Context;
+use crate::known_tables::FOLLOWED;
 use crate::ports::{Answer, ErrorClass};
 use crate::server::Server;
 
@@ -41,6 +42,11 @@
     group: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TableLabels {
+    table: String,
+}
+
 /// How a statement ended for its client.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Ended {
@@ -83,6 +89,8 @@
     proof_ages: Family<GroupLabels, Gauge>,
     homes: Family<GroupLabels, Gauge>,
     configuration: Gauge,
+    missed_news: Family<Kind, Counter>,
+    table_ages: Family<TableLabels, Gauge>,
 }
 
 impl fmt::Debug for Metrics {
@@ -105,6 +113,8 @@
             proof_ages: Family::default(),
             homes: Family::default(),
             configuration: Gauge::default(),
+            missed_news: Family::default(),
+            table_ages: Family::default(),
         };
         metrics.register();
         metrics
@@ -134,6 +144,10 @@
         registry.register("homes", text, self.homes.clone());
         let text = "Version of the configuration in force; 0 before the first";
         registry.register("configuration_version", text, self.configuration.clone());
+        let text = "Questions to other nodes for a table that were of no use, by reason";
+        registry.register("missed_news", text, self.missed_news.clone());
+        let text = "How long ago the store last told of a table, in milliseconds; -1 before it did";
+        registry.register("table_age_ms", text, self.table_ages.clone());
     }
 
     /// Counts a client's statement.
@@ -169,6 +183,11 @@
         self.store_calls.get_or_create(&Kind { kind }).inc();
     }
 
+    /// Counts a question to another node for a table that was of no use.
+    pub fn count_missed_news(&self, why: &'static str) {
+        self.missed_news.get_or_create(&Kind { kind: why }).inc();
+    }
+
     /// All metrics as text, with the gauges as they are now.
     pub fn text(&self, context: &Context) -> String {
         self.set_gauges(context);
@@ -184,6 +203,7 @@
             .map_or(0, |known| known.configuration.version);
         self.configuration
             .set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.set_table_ages(context);
         // Servers and groups that are gone are not told any more.
         self.connections.clear();
         self.proof_ages.clear();
@@ -193,8 +213,7 @@
             let labels = GroupLabels {
                 group: group.name.clone(),
             };
-            let age = group.proven_at().map(|proven| now.since(proven));
-            let age = age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+            let age = millis_or_unknown(group.proven_at().map(|proven| now.since(proven)));
             self.proof_ages.get_or_create(&labels).set(age);
             let homes = context.homes_of(&group.name).count;
             self.homes.get_or_create(&labels).set(as_gauge(homes));
@@ -204,6 +223,18 @@
         }
     }
 
+    fn set_table_ages(&self, context: &Context) {
+        let now = context.clock.now();
+        for table in FOLLOWED {
+            let told_at = context.known_tables.told_at(table);
+            let labels = TableLabels {
+                table: format!("{table:?}"),
+            };
+            let age = millis_or_unknown(told_at.map(|told_at| now.since(told_at)));
+            self.table_ages.get_or_create(&labels).set(age);
+        }
+    }
+
     fn set_connections(&self, group: &str, server: &Server) {
         let counts = server.pool.counts();
         let states = [
@@ -223,6 +254,13 @@
     }
 }
 
+/// Whole milliseconds; -1 if the time is not known.
+fn millis_or_unknown(time: Option<Duration>) -> i64 {
+    time.map_or(-1, |time| {
+        i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
+    })
+}
+
 fn as_gauge(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
