Let a home refuse what its newer configuration does not let run

One that had known for five seconds that a database is dropped still ran a write for it, because the node that took the statement had not learnt it yet.

Calls now name the version of the configuration by which they were routed. A home that knows a newer one refuses the unit: with NODATABASE if the database is dropped, with BUSY ('rerouted', come back in 300 ms) if it belongs to another group. Both say that nothing ran, which is true. A home that is behind the caller runs the unit by the caller's newer route, as before.

Ruled out: handing on to the other group's home (one more hop for a moment of a second at most).

--- a/crates/spurpier-pipeline/src/forward/caller.rs
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -110,6 +110,7 @@
         freshness: route.freshness.into(),
         timeout_ms: millis(route.timeout),
         target_ms: millis(route.target),
+        configuration: unit.configuration,
         own_commit: unit.own_commit.map(|commit| commit.position),
         session: session(unit),
         relayed,
--- a/crates/spurpier-pipeline/src/forward/messages.rs
+++ b/crates/spurpier-pipeline/src/forward/messages.rs
@@ -117,6 +117,8 @@
     pub timeout_ms: u32,
     /// Within what an operation should be answered, in milliseconds.
     pub target_ms: u32,
+    /// The version of the configuration that has the route.
+    pub configuration: u64,
     /// The position of the session's last commit in the group.
     pub own_commit: Option<Position>,
     /// The session's state.
--- a/crates/spurpier-pipeline/src/forward/server.rs
+++ b/crates/spurpier-pipeline/src/forward/server.rs
@@ -231,6 +231,9 @@
         let Some(unit) = self.unit(head) else {
             return Reply::NotTaken;
         };
+        if let Some(answer) = unit.refuse_superseded(&work.id) {
+            return Reply::Answered(CalledAnswer::new(answer, None));
+        }
         let done = if relayed {
             unit.run_here(&work, effect).await
         } else {
@@ -244,6 +247,9 @@
         let Some(unit) = self.unit(head) else {
             return Reply::NotTaken;
         };
+        if let Some(answer) = unit.refuse_superseded(&work.id) {
+            return Reply::Answered(CalledAnswer::new(answer, None));
+        }
         let begun = PlacedTransaction::begin_at_home(unit, &work, read_only, may_relay);
         let (answer, transaction) = begun.await;
         if let Some(transaction) = transaction {
@@ -330,6 +336,7 @@
             own_commit,
             times: Times::of_waited(&route, &context.clock, duration(head.session.waited_ms)),
             route,
+            configuration: head.configuration,
         })
     }
 }
--- a/crates/spurpier-pipeline/src/ports/statement.rs
+++ b/crates/spurpier-pipeline/src/ports/statement.rs
@@ -173,6 +173,12 @@
         }
     }
 
+    /// The answer of a statement whose database has no route.
+    pub fn unknown_database() -> Self {
+        let text = "no such database";
+        Answer::error(ErrorClass::UnknownDatabase, text, TransactionState::Idle)
+    }
+
     /// The class of its error; none if it succeeded.
     pub fn error_class(&self) -> Option<ErrorClass> {
         self.outcome.as_ref().err().map(|error| error.class)
--- a/crates/spurpier-pipeline/src/session/statements.rs
+++ b/crates/spurpier-pipeline/src/session/statements.rs
@@ -101,7 +101,7 @@
             return transaction.run(&work, effect).await;
         }
         let Some(unit) = self.unit() else {
-            return unknown_database();
+            return Answer::unknown_database();
         };
         let done = run_single(&unit, &work, effect).await;
         self.settle(&unit.group.name, done)
@@ -109,7 +109,7 @@
 
     async fn begin(&mut self, work: Work, read_only: bool) -> Answer {
         let Some(unit) = self.unit() else {
-            return unknown_database();
+            return Answer::unknown_database();
         };
         let (answer, transaction) = PlacedTransaction::begin(unit, &work, read_only).await;
         self.transaction = transaction;
@@ -138,7 +138,8 @@
 
     /// The unit of a statement outside a transaction; none if its database has no route now.
     fn unit(&self) -> Option<Unit> {
-        let route = self.context.in_force()?.route(&self.database)?;
+        let in_force = self.context.in_force()?;
+        let route = in_force.route(&self.database)?;
         let own_commit = self.own_commit.as_ref();
         let own_commit = own_commit.filter(|(group, _)| *group == route.group);
         Some(Unit {
@@ -148,6 +149,7 @@
             own_commit: own_commit.map(|(_, commit)| *commit),
             times: Times::of(&route, &self.context.clock),
             route,
+            configuration: in_force.configuration.version,
         })
     }
 
@@ -171,8 +173,3 @@
 fn unknown_name(state: TransactionState) -> Answer {
     Answer::error(ErrorClass::UnknownName, "no such name", state)
 }
-
-fn unknown_database() -> Answer {
-    let text = "no such database";
-    Answer::error(ErrorClass::UnknownDatabase, text, TransactionState::Idle)
-}
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -48,6 +48,8 @@
     pub own_commit: Option<OwnCommit>,
     /// Its limits in time.
     pub times: Times,
+    /// The version of the configuration that has the route.
+    pub configuration: u64,
 }
 
 /// Why a unit has not run.
@@ -65,6 +67,8 @@
     NoServer,
     /// No home of the group can be reached.
     NoHome,
+    /// A newer configuration gives the database to another group.
+    Rerouted,
 }
 
 impl NotRun {
@@ -76,13 +80,14 @@
             NotRun::NoFreshServer => "no_fresh_server",
             NotRun::NoServer => "no_server",
             NotRun::NoHome => "no_home",
+            NotRun::Rerouted => "rerouted",
         }
     }
 
     /// When a client should come back, in milliseconds.
     const fn retry_after_ms(self) -> u32 {
         match self {
-            NotRun::NoLead | NotRun::NoServer | NotRun::NoHome => 300,
+            NotRun::NoLead | NotRun::NoServer | NotRun::NoHome | NotRun::Rerouted => 300,
             NotRun::NoFreshServer => 200,
             NotRun::NoConnection | NotRun::ServerBusy => 100,
         }
@@ -179,6 +184,24 @@
         }
     }
 
+    /// The answer of a unit that a newer configuration than that of its route does not let run
+    /// here; none if it may run.
+    ///
+    /// A node that takes in the configuration late forwards under the former one. Its home, which
+    /// knows better, must not run that: a home ran a write for a database that it had known to be
+    /// dropped for five seconds (seen in the logs of both nodes).
+    pub fn refuse_superseded(&self, id: &str) -> Option<Answer> {
+        let in_force = self.context.in_force()?;
+        if in_force.configuration.version <= self.configuration {
+            return None;
+        }
+        match in_force.route(&self.route.database) {
+            Some(route) if route.group == self.route.group => None,
+            Some(_) => Some(self.refuse(id, NotRun::Rerouted)),
+            None => Some(Answer::unknown_database()),
+        }
+    }
+
     /// The answer of a statement that has not run.
     pub fn refuse(&self, id: &str, reason: NotRun) -> Answer {
         self.context.metrics.count_refusal(reason.text());
