Tell large news to three nodes at a time

News of 8 KB or more are now told in turns, three at a time; a follower that asks again of the table has what it was told, which ends its turn, and a second ends it in any case. A follower waits for its turn, for as long as the other node shows that it runs, half of the time within which a change must be known (0.2 s before). What is told, and its age, are taken when the turn comes.

--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -9,7 +9,7 @@
 use spurpier_core::retry::{RetryBudget, RetryBudgetSettings};
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -77,6 +77,8 @@
     pub retry_budget: Mutex<RetryBudget>,
     /// The store's tables as last seen.
     pub known_tables: KnownTables,
+    /// Turns to tell another node much of a table.
+    pub news_turns: Arc<Semaphore>,
     /// What is counted and told at the metrics endpoint.
     pub metrics: Metrics,
     /// Bounds the log lines of single requests.
--- a/crates/spurpier-pipeline/src/follow/patience.rs
+++ b/crates/spurpier-pipeline/src/follow/patience.rs
@@ -28,6 +28,8 @@
 pub struct Patience {
     /// How long one wait for changes lasts at most.
     pub wait: Duration,
+    /// Within what a change must be known.
+    known_within: Duration,
 }
 
 impl Patience {
@@ -41,9 +43,17 @@
         let wait = known_within.saturating_sub(CHANGES_SLACK);
         Patience {
             wait: wait.max(SHORTEST_WAIT),
+            known_within,
         }
     }
 
+    /// How much longer than its wait a call for another node's news may take, if that node shows
+    /// that it runs: it tells much to a few nodes at a time, and others are to be asked while
+    /// there is time.
+    pub fn turn(self) -> Duration {
+        self.known_within / 2
+    }
+
     /// The age from which on what another node tells is too old: as old as the store's own news get.
     pub fn stale(self) -> Duration {
         self.wait + CHANGES_SLACK + STALE_MARGIN
--- a/crates/spurpier-pipeline/src/follow/peer.rs
+++ b/crates/spurpier-pipeline/src/follow/peer.rs
@@ -17,8 +17,6 @@
 /// How long a starting node waits for a node that does not know the table itself yet, as when all
 /// start together: about what reading it at the store takes.
 const FIRST_NEWS_WAIT: Duration = Duration::from_millis(400);
-/// How much longer than its wait a call for news may take.
-const NEWS_SLACK: Duration = Duration::from_millis(200);
 /// How long connecting to a node may take.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// How long a seed may take to answer.
@@ -107,7 +105,8 @@
         };
         let asked_at = clock.now();
         let received_before = link.part_bytes();
-        let answered = self.call(&link, wait, wait + NEWS_SLACK).await;
+        let limit = wait + self.patience.turn();
+        let answered = self.call(&link, wait, limit).await;
         *received_bytes = link.part_bytes() - received_before;
         let news = answered?;
         let told_at = news.told_at(asked_at);
--- a/crates/spurpier-pipeline/src/forward/server.rs
+++ b/crates/spurpier-pipeline/src/forward/server.rs
@@ -6,7 +6,7 @@
 
 use spurpier_core::lead::OwnCommit;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -19,6 +19,7 @@
 use super::stream::{MessageReader, prepare_socket, write_messages};
 use super::transaction::PlacedTransaction;
 use crate::context::Context;
+use crate::known_tables::News;
 use crate::ports::{Answer, Effect, ErrorClass, Route, TransactionState};
 use crate::unit::{Times, Unit, Work};
 
@@ -30,6 +31,9 @@
 const UNUSED_LIMIT: Duration = Duration::from_secs(60);
 /// The longest wait for news that is taken.
 const LONGEST_NEWS_WAIT: Duration = Duration::from_secs(5);
+/// How long a caller keeps its turn to be told much of a table if it does not ask again: 69 KB take
+/// half of it on a tenth of a link of 10 Mbit/s.
+const TURN_LIMIT: Duration = Duration::from_secs(1);
 /// Replies that may wait to be written.
 const WRITE_CAPACITY: usize = 4_096;
 
@@ -76,6 +80,8 @@
 struct Open {
     calls: HashMap<u64, AbortHandle>,
     transactions: HashMap<u64, HeldTransaction>,
+    /// What keeps the caller's turns to be told much of a table, by the table's number.
+    turns: HashMap<u8, AbortHandle>,
 }
 
 /// What one caller has open here.
@@ -153,17 +159,11 @@
     }
 
     async fn end_all(&self) {
-        let (calls, transactions) = {
-            let mut open = self.open();
-            (
-                std::mem::take(&mut open.calls),
-                std::mem::take(&mut open.transactions),
-            )
-        };
-        for call in calls.values() {
-            call.abort();
+        let open = std::mem::take(&mut *self.open());
+        for task in open.calls.values().chain(open.turns.values()) {
+            task.abort();
         }
-        for mut held in transactions.into_values() {
+        for mut held in open.transactions.into_values() {
             held.transaction.expire().await;
         }
     }
@@ -206,8 +206,14 @@
 
     /// Waits until there is something new of a table, and tells it; at the end of the wait only
     /// how old what is known has become.
+    ///
+    /// Large news are told to a few nodes at a time. Told to all followers at once they fill a
+    /// narrow link for seconds, the followers take this node as silent and ask others, which are
+    /// overloaded in turn: 6,100 calls to the store on a day of 295 nodes and 2,800 new routes.
     async fn tell_news(&self, table: u8, version: Option<u64>, wait: Duration) -> Reply {
         let called_at = self.context.clock.now();
+        // Who asks again has what it was told before.
+        self.end_turn(table);
         let known = &self.context.known_tables;
         let mut changes = known.changes();
         let news = async {
@@ -222,8 +228,32 @@
             // Those that follow this node are to follow another one.
             () = self.context.draining.cancelled() => return Reply::NotTaken,
         }
-        let news = known.news(table, version, called_at, self.context.clock.now());
-        news.map_or(Reply::NotTaken, Reply::News)
+        let news = || known.news(table, version, called_at, self.context.clock.now());
+        let mut told = news();
+        if told.as_ref().is_some_and(News::is_large) {
+            let Ok(turn) = Arc::clone(&self.context.news_turns).acquire_owned().await else {
+                return Reply::NotTaken;
+            };
+            // What has changed since, and how old it is now.
+            told = news();
+            self.keep_turn(table, turn);
+        }
+        told.map_or(Reply::NotTaken, Reply::News)
+    }
+
+    /// Keeps a turn until the caller asks again of the table, for a while.
+    fn keep_turn(&self, table: u8, turn: OwnedSemaphorePermit) {
+        let kept = tokio::spawn(async move {
+            tokio::time::sleep(TURN_LIMIT).await;
+            drop(turn);
+        });
+        self.open().turns.insert(table, kept.abort_handle());
+    }
+
+    fn end_turn(&self, table: u8) {
+        if let Some(kept) = self.open().turns.remove(&table) {
+            kept.abort();
+        }
     }
 
     async fn run_single(&self, head: CallHead, work: Work, effect: Effect) -> Reply {
--- a/crates/spurpier-pipeline/src/known_tables.rs
+++ b/crates/spurpier-pipeline/src/known_tables.rs
@@ -20,6 +20,11 @@
 /// of the configuration may drop the 1,400 routes that another one added.
 const REMEMBERED: usize = 4_096;
 
+/// Bytes from which on news count as large: 50 nodes take 0.3 s of a link of 10 Mbit/s.
+const LARGE_NEWS: usize = 8 << 10;
+/// About how many bytes a row takes beside its value.
+const ROW_HEAD: usize = 30;
+
 /// The tables that nodes follow, by the number that messages carry.
 pub const FOLLOWED: [Table; 3] = [Table::Configuration, Table::Servers, Table::Cluster];
 
@@ -45,6 +50,12 @@
 }
 
 impl News {
+    /// Whether telling it takes a good part of a second of a narrow link for a few dozen nodes.
+    pub fn is_large(&self) -> bool {
+        let values = self.rows.0.iter().map(|row| row.0.value.len());
+        values.sum::<usize>() + self.rows.0.len() * ROW_HEAD >= LARGE_NEWS
+    }
+
     /// When the store last told of the table, on the clock of a node that asked at `asked_at`.
     ///
     /// The other node held the call for `held_ms` before it told the age, so that it told it no
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -11,7 +11,7 @@
 use spurpier_core::retry::RetryBudget;
 use spurpier_events::log_event;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, Semaphore, mpsc, watch};
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -41,6 +41,9 @@
 /// For how long a draining node still takes clients that the load balancer sends it.
 const ACCEPT_ON: Duration = Duration::from_millis(2_600);
 
+/// How many other nodes are told much of a table at the same time. 1,400 routes are 69 KB for each,
+/// so that three take 0.17 s of a link of 10 Mbit/s, and nobody takes this node as silent.
+const NEWS_TURNS: usize = 3;
 /// Groups that other nodes want seen to and that were not looked at yet.
 const WANTED_CAPACITY: usize = 64;
 
@@ -189,6 +192,7 @@
             holds_duty: AtomicBool::new(false),
             lease_wanted: Notify::new(),
             known_tables: KnownTables::new(),
+            news_turns: Arc::new(Semaphore::new(NEWS_TURNS)),
             metrics: Metrics::default(),
             log_budget: LogBudget::default(),
             forwarded: TaskTracker::new(),
