Split the choice of nodes off the list of nodes, and compute distances once

Context computed the distance of a zone a second time; it asks the homes. In keep_listed a match arm that ignored what it matched is a condition of its own.

--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -181,14 +181,7 @@
 
     /// How far a zone is.
     pub fn distance(&self, zone: &str) -> Distance {
-        let node = &self.settings.node;
-        if zone == node.zone {
-            return Distance::Zone;
-        }
-        match self.settings.zones.get(zone) {
-            Some(region) if *region == node.region => Distance::Region,
-            _ => Distance::Remote,
-        }
+        self.homes.distance(zone)
     }
 
     /// Takes in that the store has answered.
--- /dev/null
+++ b/crates/spurpier-pipeline/src/homes/chosen.rs
@@ -0,0 +1,147 @@
+//! Choosing nodes of each zone, as homes of a group or as watchers, and how far they are.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use spurpier_core::lead::{Distance, RankedNode, rank_homes};
+
+use crate::node_entry::NodeEntry;
+use crate::settings::PipelineSettings;
+
+/// How many nodes share the connections until the list of nodes has been read.
+const UNKNOWN_NODES: usize = 12;
+/// Nodes with less than this share of the widest link of their zone are watchers only if there are
+/// not enough others. A watcher tells its followers what changes: 1,400 more routes are 69 KB for
+/// each, 1.4 s of a link of 20 Mbit/s for 49 of them.
+const WIDE_LINK: f64 = 0.5;
+
+/// Which nodes of a zone are chosen before others of a lower rank.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Preference {
+    /// None.
+    Rank,
+    /// Those with wide links.
+    WideLink,
+}
+
+/// A node that other nodes can reach.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerNode {
+    /// Its name.
+    pub name: String,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// The nodes that were chosen, as homes of a group or as watchers, as one node sees them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChosenNodes {
+    /// Whether this node is one of them.
+    pub is_own: bool,
+    /// How many there are, this node among them if it is one.
+    pub count: usize,
+    /// How many of the others stand in this node's region; they come first.
+    pub near: usize,
+    /// The others, in the order in which this node asks them: the nearest first.
+    pub others: Vec<PeerNode>,
+}
+
+impl ChosenNodes {
+    /// Before the list of nodes has been read: this node does everything itself.
+    pub fn unknown() -> Self {
+        ChosenNodes {
+            is_own: true,
+            count: UNKNOWN_NODES,
+            near: 0,
+            others: Vec::new(),
+        }
+    }
+}
+
+/// Where this node stands among the others.
+#[derive(Debug)]
+pub struct OwnPlace {
+    name: String,
+    zone: String,
+    region: String,
+    /// The region of each zone.
+    regions: BTreeMap<String, String>,
+}
+
+impl OwnPlace {
+    /// The place of the node with these settings.
+    pub fn new(settings: &PipelineSettings) -> Self {
+        OwnPlace {
+            name: settings.node.name.clone(),
+            zone: settings.node.zone.clone(),
+            region: settings.node.region.clone(),
+            regions: settings.zones.clone(),
+        }
+    }
+
+    /// Chooses the first-ranked nodes of each zone; `per_zone` gives how many, for so many nodes in
+    /// so many zones.
+    pub fn choose(
+        &self,
+        nodes: &BTreeMap<&str, &NodeEntry>,
+        subject: &str,
+        preference: Preference,
+        per_zone: impl FnOnce(usize, usize) -> usize,
+    ) -> ChosenNodes {
+        let zones: BTreeSet<&str> = nodes.values().map(|node| node.zone.as_str()).collect();
+        let per_zone = per_zone(nodes.len(), zones.len());
+        let mut chosen = Vec::new();
+        for zone in zones {
+            let members: Vec<_> = nodes.iter().filter(|(_, node)| node.zone == zone).collect();
+            let ranked: Vec<RankedNode> = members
+                .iter()
+                .map(|(name, node)| node.ranked(name))
+                .collect();
+            let mut order = rank_homes(subject, &ranked);
+            if preference == Preference::WideLink {
+                let links = members.iter().map(|(_, node)| node.link_mbps);
+                let widest = links.fold(0.0, f64::max);
+                // Stable: within each of the two parts the ranks hold.
+                order.sort_by_key(|index| members[*index].1.link_mbps < widest * WIDE_LINK);
+            }
+            chosen.extend(order.into_iter().take(per_zone).map(|index| {
+                let (name, node) = members[index];
+                (self.distance(&node.zone), *name, *node)
+            }));
+        }
+        // Stable: nodes at the same distance stay in the order of their zones and ranks.
+        chosen.sort_by_key(|(distance, _, _)| *distance);
+        let others = || chosen.iter().filter(|(_, name, _)| *name != self.name);
+        let near = others().filter(|(distance, _, _)| *distance != Distance::Remote);
+        ChosenNodes {
+            is_own: chosen.iter().any(|(_, name, _)| *name == self.name),
+            count: chosen.len(),
+            near: near.count(),
+            others: others()
+                .map(|(_, name, node)| peer_node(name, node))
+                .collect(),
+        }
+    }
+
+    /// How far a zone is.
+    pub fn distance(&self, zone: &str) -> Distance {
+        if zone == self.zone {
+            return Distance::Zone;
+        }
+        match self.regions.get(zone) {
+            Some(region) if *region == self.region => Distance::Region,
+            _ => Distance::Remote,
+        }
+    }
+}
+
+/// A node under its name.
+pub fn peer_node(name: &str, entry: &NodeEntry) -> PeerNode {
+    PeerNode {
+        name: name.to_owned(),
+        address: entry.address,
+        zone: entry.zone.clone(),
+    }
+}
--- a/crates/spurpier-pipeline/src/homes/mod.rs
+++ b/crates/spurpier-pipeline/src/homes/mod.rs
@@ -1,54 +1,22 @@
 //! The nodes as the store lists them, and which of them are the homes of each group.
 
+mod chosen;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use spurpier_core::lead::{Distance, LEASE, LEASE_MARGIN, RankedNode, homes_per_zone, rank_homes};
+use spurpier_core::lead::{Distance, LEASE, LEASE_MARGIN, homes_per_zone};
 use spurpier_core::time::Timestamp;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
+pub use self::chosen::{ChosenNodes, PeerNode};
+use self::chosen::{OwnPlace, Preference, peer_node};
 use crate::node_entry::{ListedNode, NodeEntry};
 use crate::settings::PipelineSettings;
 
-/// A node that other nodes can reach.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PeerNode {
-    /// Its name.
-    pub name: String,
-    /// Where it is reached.
-    pub address: SocketAddr,
-    /// Its zone.
-    pub zone: String,
-}
-
-/// The nodes that were chosen, as homes of a group or as watchers, as one node sees them.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ChosenNodes {
-    /// Whether this node is one of them.
-    pub is_own: bool,
-    /// How many there are, this node among them if it is one.
-    pub count: usize,
-    /// How many of the others stand in this node's region; they come first.
-    pub near: usize,
-    /// The others, in the order in which this node asks them: the nearest first.
-    pub others: Vec<PeerNode>,
-}
-
-impl ChosenNodes {
-    /// Before the list of nodes has been read: this node does everything itself.
-    fn unknown() -> Self {
-        ChosenNodes {
-            is_own: true,
-            count: UNKNOWN_NODES,
-            near: 0,
-            others: Vec::new(),
-        }
-    }
-}
-
 #[derive(Debug, Default)]
 struct Inner {
     /// The listed nodes; none before the list was read.
@@ -127,7 +95,7 @@
 pub struct Homes {
     own_name: String,
     own: NodeEntry,
-    regions: BTreeMap<String, String>,
+    place: OwnPlace,
     inner: Mutex<Inner>,
     /// Whether the list of nodes has been read.
     is_known: watch::Sender<bool>,
@@ -140,20 +108,6 @@
 /// How many nodes follow the store, if each zone has one; all do if they are no more.
 const WATCHERS: usize = 8;
 
-/// Nodes with less than this share of the widest link of their zone are watchers only if there are
-/// not enough others. A watcher tells its followers what changes: 1,400 more routes are 69 KB for
-/// each, 1.4 s of a link of 20 Mbit/s for 49 of them.
-const WIDE_LINK: f64 = 0.5;
-
-/// Which nodes of a zone are chosen before others of a lower rank.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Preference {
-    /// None.
-    Rank,
-    /// Those with wide links.
-    WideLink,
-}
-
 fn watchers_per_zone(nodes: usize, zones: usize) -> usize {
     if nodes <= WATCHERS {
         return nodes.max(1);
@@ -161,16 +115,13 @@
     (WATCHERS / zones.max(1)).max(1)
 }
 
-/// How many nodes share the connections until the list of nodes has been read.
-const UNKNOWN_NODES: usize = 12;
-
 impl Homes {
     /// The homes before any node is known.
     pub fn new(settings: &PipelineSettings) -> Self {
         Homes {
             own_name: settings.node.name.clone(),
             own: NodeEntry::own(settings),
-            regions: settings.zones.clone(),
+            place: OwnPlace::new(settings),
             inner: Mutex::default(),
             is_known: watch::Sender::new(false),
             changed: watch::Sender::new(0),
@@ -321,7 +272,7 @@
         let mut nodes = staying(nodes);
         // A node that leaves goes on with what it has, and one that starts is about to be listed.
         nodes.entry(&self.own_name).or_insert(&self.own);
-        let homes = Arc::new(self.choose(&nodes, group, Preference::Rank, per_zone));
+        let homes = Arc::new(self.place.choose(&nodes, group, Preference::Rank, per_zone));
         let known = (connections, Arc::clone(&homes));
         inner.ranked.insert(group.to_owned(), known);
         homes
@@ -338,67 +289,17 @@
         };
         let nodes = staying(nodes);
         let preference = Preference::WideLink;
-        let watchers = self.choose(&nodes, WATCHED_SUBJECT, preference, watchers_per_zone);
+        let watchers = self
+            .place
+            .choose(&nodes, WATCHED_SUBJECT, preference, watchers_per_zone);
         let watchers = Arc::new(watchers);
         inner.watchers = Some(Arc::clone(&watchers));
         watchers
     }
 
-    /// Chooses the first-ranked nodes of each zone; `per_zone` gives how many, for so many nodes in
-    /// so many zones.
-    fn choose(
-        &self,
-        nodes: &BTreeMap<&str, &NodeEntry>,
-        subject: &str,
-        preference: Preference,
-        per_zone: impl FnOnce(usize, usize) -> usize,
-    ) -> ChosenNodes {
-        let zones: BTreeSet<&str> = nodes.values().map(|node| node.zone.as_str()).collect();
-        let per_zone = per_zone(nodes.len(), zones.len());
-        let mut chosen = Vec::new();
-        for zone in zones {
-            let members: Vec<_> = nodes.iter().filter(|(_, node)| node.zone == zone).collect();
-            let ranked: Vec<RankedNode> = members
-                .iter()
-                .map(|(name, node)| node.ranked(name))
-                .collect();
-            let mut order = rank_homes(subject, &ranked);
-            if preference == Preference::WideLink {
-                let links = members.iter().map(|(_, node)| node.link_mbps);
-                let widest = links.fold(0.0, f64::max);
-                // Stable: within each of the two parts the ranks hold.
-                order.sort_by_key(|index| members[*index].1.link_mbps < widest * WIDE_LINK);
-            }
-            chosen.extend(order.into_iter().take(per_zone).map(|index| {
-                let (name, node) = members[index];
-                (self.distance(&node.zone), *name, *node)
-            }));
-        }
-        // Stable: nodes at the same distance stay in the order of their zones and ranks.
-        chosen.sort_by_key(|(distance, _, _)| *distance);
-        let others = || chosen.iter().filter(|(_, name, _)| *name != self.own_name);
-        let near = others().filter(|(distance, _, _)| *distance != Distance::Remote);
-        ChosenNodes {
-            is_own: chosen.iter().any(|(_, name, _)| *name == self.own_name),
-            count: chosen.len(),
-            near: near.count(),
-            others: others()
-                .map(|(_, name, node)| peer_node(name, node))
-                .collect(),
-        }
-    }
-
-    fn distance(&self, zone: &str) -> Distance {
-        if zone == self.own.zone {
-            return Distance::Zone;
-        }
-        let own_region = self.regions.get(&self.own.zone);
-        let region = self.regions.get(zone);
-        if region.is_some() && region == own_region {
-            Distance::Region
-        } else {
-            Distance::Remote
-        }
+    /// How far a zone is.
+    pub fn distance(&self, zone: &str) -> Distance {
+        self.place.distance(zone)
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -413,11 +314,3 @@
         .map(|(name, node)| (name.as_str(), &node.entry));
     entries.filter(|(_, entry)| !entry.leaving).collect()
 }
-
-fn peer_node(name: &str, entry: &NodeEntry) -> PeerNode {
-    PeerNode {
-        name: name.to_owned(),
-        address: entry.address,
-        zone: entry.zone.clone(),
-    }
-}
--- a/crates/spurpier-pipeline/src/membership.rs
+++ b/crates/spurpier-pipeline/src/membership.rs
@@ -72,7 +72,6 @@
         let listed = listing.as_ref().map(|listing| &listing.entry);
         let now = Instant::now();
         let is_due = match compare(listed, &entry) {
-            _ if context.homes.may_lose(&entry.lease_groups) => true,
             EntryState::Current => {
                 surplus_since = None;
                 false
@@ -80,7 +79,9 @@
             EntryState::Surplus => now - *surplus_since.get_or_insert(now) >= SURPLUS_KEPT,
             EntryState::Lacking => true,
         };
-        if !is_due {
+        // A former write that is carried out late would take back a group that is in use.
+        let may_lose = context.homes.may_lose(&entry.lease_groups);
+        if !is_due && !may_lose {
             await_change(&context, &mut changes).await;
             continue;
         }
