Serve clients by the tenant that holds their key

Ruled out: a name set on a connection after its start, which the wire does not have.

Change: a client's key is resolved at each operation by the configuration in force; nodes keep and tell digests of keys only; tenants travel as one row each; a home with a newer configuration refuses what it does not allow. A connection belongs to the tenant it was opened for, and a full pool closes the one unused for longest. A faulty list of tenants is refused with its findings, by place, and the former one stays in force.

--- a/crates/spurpier-pipeline/src/configuration/mod.rs
+++ b/crates/spurpier-pipeline/src/configuration/mod.rs
@@ -1,5 +1,6 @@
 //! The configuration in force on this node; it only ever moves to a newer version.
 
+mod check;
 mod rows;
 
 use std::collections::HashMap;
@@ -7,11 +8,13 @@
 
 use spurpier_events::log_event;
 
+use self::check::TenantFinding;
 use crate::context::Context;
 use crate::directory::share_connections;
 use crate::events;
 use crate::follow::RowSink;
-use crate::ports::{Configuration, Route, Row, Table};
+use crate::ports::{Configuration, KeyDigest, Route, Row, Table, Tenant};
+use crate::tenant::{Caller, Denied};
 
 /// A configuration, indexed.
 #[derive(Debug)]
@@ -20,6 +23,8 @@
     pub configuration: Configuration,
     routes: HashMap<String, Arc<Route>>,
     connections: HashMap<String, usize>,
+    /// The holders of keys; none if clients are not told apart.
+    holders: Option<HashMap<KeyDigest, Arc<str>>>,
 }
 
 impl InForce {
@@ -32,8 +37,10 @@
         }
         let groups = configuration.groups.iter();
         let connections = groups.map(|group| (group.name.clone(), group.connections));
+        let holders = configuration.tenants.as_deref().map(key_holders);
         InForce {
             connections: connections.collect(),
+            holders,
             routes,
             configuration,
         }
@@ -44,12 +51,41 @@
         self.routes.get(database).map(Arc::clone)
     }
 
+    /// The route of a database and whom a client's statements are run for.
+    ///
+    /// # Errors
+    ///
+    /// [`Denied`] if the client is not served there.
+    pub fn admit(
+        &self,
+        database: &str,
+        key: Option<KeyDigest>,
+    ) -> Result<(Arc<Route>, Caller), Denied> {
+        let route = self.route(database).ok_or(Denied::UnknownDatabase)?;
+        let Some(holders) = self.holders.as_ref().filter(|_| !route.is_public) else {
+            return Ok((route, Caller::unnamed(key)));
+        };
+        let holder = key.and_then(|key| holders.get(&key));
+        let tenant = Some(Arc::clone(holder.ok_or(Denied::UnknownKey)?));
+        Ok((route, Caller { tenant, key }))
+    }
+
     /// The connections that each server of a group takes; none if the group is not known.
     pub fn connections(&self, group: &str) -> Option<usize> {
         self.connections.get(group).copied()
     }
 }
 
+fn key_holders(tenants: &[Tenant]) -> HashMap<KeyDigest, Arc<str>> {
+    let mut holders = HashMap::new();
+    for tenant in tenants {
+        let name: Arc<str> = Arc::from(tenant.name.as_str());
+        let keys = tenant.keys.iter();
+        holders.extend(keys.map(|key| (*key, Arc::clone(&name))));
+    }
+    holders
+}
+
 /// Puts each newer configuration into force.
 pub struct ConfigurationSink(pub Arc<Context>);
 
@@ -86,10 +122,28 @@
             log_malformed(&told.key);
             return Some(known);
         };
+        let findings = check::check_tenants(&configuration);
+        if !findings.is_empty() {
+            self.0
+                .metrics
+                .note_refused_configuration(configuration.version);
+            log_refused(configuration.version, &findings);
+            return Some(known);
+        }
         Some(rows::split(&configuration, told.version, &known))
     }
 }
 
+/// What names a configuration's faults holds no key.
+fn log_refused(version: u64, findings: &[TenantFinding]) {
+    let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    log_event!(
+        events::CONFIGURATION_REFUSED,
+        version = version,
+        findings = findings.join("; ")
+    );
+}
+
 fn log_malformed(key: &str) {
     log_event!(events::ROW_MALFORMED, table = "configuration", key = key);
 }
--- a/crates/spurpier-pipeline/src/configuration/rows.rs
+++ b/crates/spurpier-pipeline/src/configuration/rows.rs
@@ -10,11 +10,13 @@
 use spurpier_core::wire::{List, LongText};
 
 use crate::forward::{CalledFreshness, duration, millis};
-use crate::ports::{Configuration, GroupSettings, Route, Row};
+use crate::ports::{Configuration, GroupSettings, KeyDigest, Quota, Route, Row, Tenant};
 
 /// What stands before a database's name in the key of its route's row.
 const ROUTE_PREFIX: &str = "route/";
-/// The key of the row with all that is not a route.
+/// What stands before a tenant's name in the key of its row.
+const TENANT_PREFIX: &str = "tenant/";
+/// The key of the row with all that is neither a route nor a tenant.
 const SETTINGS_KEY: &str = "settings";
 
 #[derive(Debug, SerBin, DeBin)]
@@ -23,12 +25,21 @@
     freshness: CalledFreshness,
     timeout_ms: u32,
     target_ms: u32,
+    is_public: bool,
+}
+
+#[derive(Debug, SerBin, DeBin)]
+struct TenantRow {
+    keys: List<KeyDigest>,
+    quota: Option<Quota>,
 }
 
 #[derive(Debug, SerBin, DeBin)]
 struct SettingsRow {
     version: u64,
     transaction_idle_ms: u32,
+    /// Whether clients are told apart.
+    has_tenants: bool,
     groups: List<GroupRow>,
 }
 
@@ -46,6 +57,8 @@
 /// the first one holds.
 pub fn split(configuration: &Configuration, version: u64, known: &[Row]) -> Vec<Row> {
     let mut rows: Vec<Row> = configuration.routes.iter().map(route_row).collect();
+    let tenants = configuration.tenants.iter().flatten();
+    rows.extend(tenants.map(tenant_row));
     rows.push(settings_row(configuration));
     // Stable, so that the first of two routes for one database stays the first.
     rows.sort_by(|one, other| one.key.cmp(&other.key));
@@ -74,14 +87,24 @@
         freshness: route.freshness.into(),
         timeout_ms: millis(route.timeout),
         target_ms: millis(route.target),
+        is_public: route.is_public,
     };
     row(format!("{ROUTE_PREFIX}{}", route.database), &value)
 }
 
+fn tenant_row(tenant: &Tenant) -> Row {
+    let value = TenantRow {
+        keys: List(tenant.keys.clone()),
+        quota: tenant.quota,
+    };
+    row(format!("{TENANT_PREFIX}{}", tenant.name), &value)
+}
+
 fn settings_row(configuration: &Configuration) -> Row {
     let value = SettingsRow {
         version: configuration.version,
         transaction_idle_ms: millis(configuration.transaction_idle),
+        has_tenants: configuration.tenants.is_some(),
         groups: List(configuration.groups.iter().map(group_row).collect()),
     };
     row(SETTINGS_KEY.to_owned(), &value)
@@ -104,9 +127,12 @@
 pub fn join(rows: &[Row]) -> Result<Configuration, String> {
     let mut routes = Vec::with_capacity(rows.len());
     let mut settings = None;
+    let mut tenants = Vec::new();
     for row in rows {
         if row.key == SETTINGS_KEY {
             settings = SettingsRow::deserialize_bin(&row.value).ok();
+        } else if row.key.starts_with(TENANT_PREFIX) {
+            tenants.push(tenant(row).ok_or_else(|| row.key.clone())?);
         } else {
             routes.push(route(row).ok_or_else(|| row.key.clone())?);
         }
@@ -116,6 +142,7 @@
         version: settings.version,
         routes,
         groups: settings.groups.0.into_iter().map(group_settings).collect(),
+        tenants: settings.has_tenants.then_some(tenants),
         transaction_idle: duration(settings.transaction_idle_ms),
     })
 }
@@ -129,6 +156,17 @@
         freshness: value.freshness.into(),
         timeout: duration(value.timeout_ms),
         target: duration(value.target_ms),
+        is_public: value.is_public,
+    })
+}
+
+fn tenant(row: &Row) -> Option<Tenant> {
+    let name = row.key.strip_prefix(TENANT_PREFIX)?;
+    let value = TenantRow::deserialize_bin(&row.value).ok()?;
+    Some(Tenant {
+        name: name.to_owned(),
+        keys: value.keys.0,
+        quota: value.quota,
     })
 }
 
--- a/crates/spurpier-pipeline/src/duty/successor.rs
+++ b/crates/spurpier-pipeline/src/duty/successor.rs
@@ -14,7 +14,7 @@
 use crate::ports::{
     FencingToken, Promotion, PromotionAnswer, ServerRequest, ServerRole, ServerStatus, StoreError,
 };
-use crate::server::{Server, Values};
+use crate::server::{ConnectionNeed, Server, Values};
 use crate::unit::{Place, own_attempt};
 
 /// How long a server may take to give a connection for a question.
@@ -53,7 +53,9 @@
 ) -> Option<ServerStatus> {
     let clock = &context.clock;
     let until = clock.now() + CONNECTION_LIMIT;
-    let lease = server.pool.acquire(&Values::new(), until).await.ok()?;
+    let values = Values::new();
+    let need = ConnectionNeed::own(&values);
+    let lease = server.pool.acquire(need, until).await.ok()?;
     let place = Place::new(Arc::clone(server), lease);
     let until = clock.now() + STATUS_LIMIT;
     let (_place, result) = own_attempt(clock, place, request, until).await;
--- a/crates/spurpier-pipeline/src/forward/caller.rs
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use super::link::{Link, Outcome};
-use super::messages::{Call, CallHead, CalledAnswer, CalledSession, CalledWork, Reply, millis};
+use super::messages::{
+    Call, CallHead, CalledAnswer, CalledCaller, CalledSession, CalledWork, Reply, millis,
+};
 use crate::homes::{ChosenNodes, PeerNode};
 use crate::ports::{Effect, ErrorClass};
 use crate::unit::{Done, NotRun, Unit, Work};
@@ -110,6 +112,7 @@
         freshness: route.freshness.into(),
         timeout_ms: millis(route.timeout),
         target_ms: millis(route.target),
+        caller: CalledCaller::from(&unit.caller),
         configuration: unit.configuration,
         own_commit: unit.own_commit.map(|commit| commit.position),
         session: session(unit),
--- a/crates/spurpier-pipeline/src/forward/messages.rs
+++ b/crates/spurpier-pipeline/src/forward/messages.rs
@@ -4,6 +4,7 @@
 //! The other one runs them and replies, in any order. Times are told as lengths, never as moments,
 //! since nodes share no clock.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,13 +14,14 @@
 
 use crate::known_tables::News;
 use crate::ports::{
-    Answer, Completion, Effect, ErrorClass, FreshnessKind, ServerError, TransactionState,
+    Answer, Completion, Effect, ErrorClass, FreshnessKind, KeyDigest, ServerError, TransactionState,
 };
 use crate::server::Values;
+use crate::tenant::Caller;
 use crate::unit::{PreparedUse, Work};
 
 /// The version of the messages; nodes of different versions do not forward to each other.
-pub const VERSION: u16 = 4;
+pub const VERSION: u16 = 5;
 
 /// A message between a caller and the node that runs its calls.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
@@ -117,7 +119,9 @@
     pub timeout_ms: u32,
     /// Within what an operation should be answered, in milliseconds.
     pub target_ms: u32,
-    /// The version of the configuration that has the route.
+    /// Whom it is run for.
+    pub caller: CalledCaller,
+    /// The version of the configuration that has the route and the caller's key.
     pub configuration: u64,
     /// The position of the session's last commit in the group.
     pub own_commit: Option<Position>,
@@ -128,6 +132,38 @@
     pub relayed: bool,
 }
 
+/// [`Caller`] as a message carries it.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct CalledCaller {
+    tenant: Option<String>,
+    key: Option<KeyDigest>,
+}
+
+impl CalledCaller {
+    /// Whether it is not told apart from others.
+    pub fn is_unnamed(&self) -> bool {
+        self.tenant.is_none()
+    }
+}
+
+impl From<&Caller> for CalledCaller {
+    fn from(caller: &Caller) -> Self {
+        CalledCaller {
+            tenant: caller.tenant.as_deref().map(str::to_owned),
+            key: caller.key,
+        }
+    }
+}
+
+impl From<CalledCaller> for Caller {
+    fn from(caller: CalledCaller) -> Self {
+        Caller {
+            tenant: caller.tenant.map(Arc::from),
+            key: caller.key,
+        }
+    }
+}
+
 /// What a runner must know of the session.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub struct CalledSession {
--- a/crates/spurpier-pipeline/src/forward/server.rs
+++ b/crates/spurpier-pipeline/src/forward/server.rs
@@ -21,6 +21,7 @@
 use crate::context::Context;
 use crate::known_tables::News;
 use crate::ports::{Answer, Effect, ErrorClass, Route, TransactionState};
+use crate::tenant::Caller;
 use crate::unit::{Times, Unit, Work};
 
 /// The pause after a failed accept, as when descriptors have run out.
@@ -353,6 +354,7 @@
             freshness: head.freshness.into(),
             timeout: duration(head.timeout_ms),
             target: duration(head.target_ms),
+            is_public: head.caller.is_unnamed(),
         });
         // The acknowledgement came before the call; any later moment asks for more.
         let own_commit = head.own_commit.map(|position| OwnCommit {
@@ -362,6 +364,7 @@
         Some(Unit {
             context: Arc::clone(context),
             group,
+            caller: Caller::from(head.caller),
             values: head.session.session_values(),
             own_commit,
             times: Times::of_waited(&route, &context.clock, duration(head.session.waited_ms)),
--- a/crates/spurpier-pipeline/src/lib.rs
+++ b/crates/spurpier-pipeline/src/lib.rs
@@ -28,6 +28,7 @@
 mod server;
 mod session;
 pub mod settings;
+mod tenant;
 mod unit;
 
 pub use node::{Listeners, Node, NodeError, NodeParts, Stop};
--- a/crates/spurpier-pipeline/src/metrics.rs
+++ b/crates/spurpier-pipeline/src/metrics.rs
@@ -86,9 +86,11 @@
     calls: Family<Kind, Counter>,
     store_calls: Family<Kind, Counter>,
     connections: Family<ConnectionLabels, Gauge>,
+    connection_uses: Family<Kind, Counter>,
     proof_ages: Family<GroupLabels, Gauge>,
     homes: Family<GroupLabels, Gauge>,
     configuration: Gauge,
+    refused_configuration: Gauge,
     missed_news: Family<Kind, Counter>,
     table_ages: Family<TableLabels, Gauge>,
 }
@@ -110,9 +112,11 @@
             calls: Family::default(),
             store_calls: Family::default(),
             connections: Family::default(),
+            connection_uses: Family::default(),
             proof_ages: Family::default(),
             homes: Family::default(),
             configuration: Gauge::default(),
+            refused_configuration: Gauge::default(),
             missed_news: Family::default(),
             table_ages: Family::default(),
         };
@@ -138,18 +142,32 @@
         registry.register("store_calls", text, self.store_calls.clone());
         let text = "Connections to a server, by state";
         registry.register("connections", text, self.connections.clone());
+        let text = "Connections to servers, by what units did with them";
+        registry.register("connection_uses", text, self.connection_uses.clone());
         let text = "Age of the newest proof of lead, in milliseconds; -1 without one";
         registry.register("proof_age_ms", text, self.proof_ages.clone());
         let text = "Homes of a group, this node among them if it is one";
         registry.register("homes", text, self.homes.clone());
         let text = "Version of the configuration in force; 0 before the first";
         registry.register("configuration_version", text, self.configuration.clone());
+        let text = "Version of the newest configuration that was refused for its faults";
+        registry.register(
+            "refused_configuration_version",
+            text,
+            self.refused_configuration.clone(),
+        );
         let text = "Questions to other nodes for a table that were of no use, by reason";
         registry.register("missed_news", text, self.missed_news.clone());
         let text = "How long ago the store last told of a table, in milliseconds; -1 before it did";
         registry.register("table_age_ms", text, self.table_ages.clone());
     }
 
+    /// Tells the version of a configuration that was refused for its faults.
+    pub fn note_refused_configuration(&self, version: u64) {
+        let version = i64::try_from(version).unwrap_or(i64::MAX);
+        self.refused_configuration.set(version);
+    }
+
     /// Counts a client's statement.
     pub fn count_statement(&self, answer: &Answer, taken: Duration) {
         let kind = Ended::of(answer).text();
@@ -219,6 +237,7 @@
             self.homes.get_or_create(&labels).set(as_gauge(homes));
             for server in group.servers() {
                 self.set_connections(&group.name, &server);
+                self.count_connection_uses(&server);
             }
         }
     }
@@ -235,6 +254,19 @@
         }
     }
 
+    fn count_connection_uses(&self, server: &Server) {
+        let uses = server.pool.take_uses();
+        let kinds = [
+            ("taken", uses.taken),
+            ("opened", uses.opened),
+            ("displaced", uses.displaced),
+        ];
+        for (kind, count) in kinds {
+            let counter = self.connection_uses.get_or_create(&Kind { kind });
+            counter.inc_by(count);
+        }
+    }
+
     fn set_connections(&self, group: &str, server: &Server) {
         let counts = server.pool.counts();
         let states = [
--- a/crates/spurpier-pipeline/src/ports/configuration.rs
+++ b/crates/spurpier-pipeline/src/ports/configuration.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::tenant::Tenant;
+
 /// How fresh a route's reads must be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FreshnessKind {
@@ -36,6 +38,8 @@
     pub timeout: Duration,
     /// Within what an operation should be answered.
     pub target: Duration,
+    /// Whether it serves clients without a key.
+    pub is_public: bool,
 }
 
 /// What holds for one group.
@@ -50,7 +54,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Configuration {
     /// Its version; a greater one is newer.
     pub version: u64,
@@ -58,6 +62,8 @@
     pub routes: Vec<Route>,
     /// All groups.
     pub groups: Vec<GroupSettings>,
+    /// The tenants whose clients are served; none if clients are not told apart.
+    pub tenants: Option<Vec<Tenant>>,
     /// How long an open transaction may rest before it may be ended.
     pub transaction_idle: Duration,
 }
--- a/crates/spurpier-pipeline/src/ports/dialect.rs
+++ b/crates/spurpier-pipeline/src/ports/dialect.rs
@@ -7,6 +7,7 @@
 
 use super::directory::ServerStatus;
 use super::statement::{Answer, Effect, Request, ServerError, TransactionState};
+use super::tenant::KeyDigest;
 
 /// Bytes that are no message of the dialect, or a message over its limit; the connection that
 /// carried them is of no more use.
@@ -28,6 +29,8 @@
     StartUp {
         /// The database that it names.
         database: String,
+        /// The digest of the client's key; none if it names none.
+        key: Option<KeyDigest>,
     },
     /// A statement.
     Request(Request),
@@ -61,6 +64,8 @@
     StartUp {
         /// The group that the server must belong to.
         group: &'a str,
+        /// Whom the connection is for: a tenant, or the proxy itself.
+        caller: &'a str,
         /// The server that it must be.
         instance: &'a str,
     },
--- a/crates/spurpier-pipeline/src/ports/mod.rs
+++ b/crates/spurpier-pipeline/src/ports/mod.rs
@@ -10,6 +10,7 @@
 mod promotion;
 mod statement;
 mod store;
+mod tenant;
 
 pub use configuration::{Configuration, FreshnessKind, GroupSettings, Route};
 pub use dialect::{
@@ -23,3 +24,4 @@
 pub use store::{
     Condition, MetadataStore, ReadRows, Row, StoreError, Table, TransactOutcome, Transaction, Write,
 };
+pub use tenant::{KeyDigest, Quota, Tenant};
--- a/crates/spurpier-pipeline/src/ports/statement.rs
+++ b/crates/spurpier-pipeline/src/ports/statement.rs
@@ -4,6 +4,8 @@
 use nanoserde::{DeBin, SerBin};
 use spurpier_core::position::Position;
 
+use crate::tenant::Denied;
+
 /// Whether a statement changes data.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, SerBin, DeBin)]
 pub enum Effect {
@@ -102,6 +104,8 @@
     Malformed,
     /// Not run: there is no such database.
     UnknownDatabase,
+    /// Not run: no tenant holds the client's key.
+    UnknownKey,
     /// It may have run.
     InDoubt,
     /// It ran out of time and may have run.
@@ -173,10 +177,10 @@
         }
     }
 
-    /// The answer of a statement whose database has no route.
-    pub fn unknown_database() -> Self {
-        let text = "no such database";
-        Answer::error(ErrorClass::UnknownDatabase, text, TransactionState::Idle)
+    /// The answer of a statement whose client is not served.
+    pub fn denied(denied: Denied) -> Self {
+        let error = denied.error();
+        Answer::error(error.class, error.text, TransactionState::Idle)
     }
 
     /// The class of its error; none if it succeeded.
--- a/crates/spurpier-pipeline/src/server/connection.rs
+++ b/crates/spurpier-pipeline/src/server/connection.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, HashSet};
 use std::fmt;
 use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use super::pool::Target;
 use crate::ports::{
     Answer, Completion, ErrorClass, ServerDialect, ServerError, ServerMessage, ServerRequest,
     TransactionState,
@@ -65,6 +65,8 @@
     /// Whether an exchange has begun and not ended.
     busy: bool,
     state: TransactionState,
+    /// Whom it was opened for.
+    pub caller: String,
     /// The session values that were set on it.
     pub values: Values,
     /// The names that were prepared on it.
@@ -72,18 +74,17 @@
 }
 
 impl ServerConnection {
-    /// Opens a connection to the server `instance` of `group`.
+    /// Opens a connection for a caller.
     ///
     /// # Errors
     ///
     /// [`OpenError`].
     pub async fn open(
-        address: SocketAddr,
+        target: &Target,
         dialect: Arc<dyn ServerDialect>,
-        group: &str,
-        instance: &str,
+        caller: &str,
     ) -> Result<Self, OpenError> {
-        let stream = TcpStream::connect(address).await;
+        let stream = TcpStream::connect(target.address).await;
         let stream = stream.map_err(|_| OpenError::Unreachable)?;
         prepare_socket(&stream).map_err(|_| OpenError::Unreachable)?;
         let mut connection = ServerConnection {
@@ -94,16 +95,21 @@
             unread: 0,
             busy: false,
             state: TransactionState::Idle,
+            caller: caller.to_owned(),
             values: Values::new(),
             prepared: HashSet::new(),
         };
-        connection.start_up(group, instance).await?;
+        connection.start_up(target).await?;
         Ok(connection)
     }
 
-    async fn start_up(&mut self, group: &str, instance: &str) -> Result<(), OpenError> {
+    async fn start_up(&mut self, target: &Target) -> Result<(), OpenError> {
         self.busy = true;
-        let request = ServerRequest::StartUp { group, instance };
+        let request = ServerRequest::StartUp {
+            group: &target.group,
+            caller: &self.caller,
+            instance: &target.instance,
+        };
         self.dialect.encode(&request, &mut self.output);
         self.flush().await.map_err(|_| OpenError::Unreachable)?;
         loop {
--- a/crates/spurpier-pipeline/src/server/pool.rs
+++ b/crates/spurpier-pipeline/src/server/pool/mod.rs
@@ -1,4 +1,10 @@
 //! The connections to one server and the units that use or await them.
+//!
+//! A connection belongs to the caller that it was opened for. Where no more may be open, an unused
+//! one of another caller is closed in favour of a caller that has none.
+
+mod demand;
+mod opening;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -9,16 +15,17 @@
 use spurpier_core::time::Timestamp;
 use tokio::sync::Notify;
 
+use self::demand::Demand;
+pub use self::opening::Lease;
+use self::opening::Opening;
 use super::connection::{OpenError, ServerConnection, Values};
 use crate::clock::Clock;
 use crate::ports::{ErrorClass, ServerDialect};
+use crate::tenant::UNNAMED_CALLER;
 
 /// The pauses before a server that has too many connections is asked for one again.
 const FIRST_FULL_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_FULL_PAUSE: Duration = Duration::from_millis(600);
-/// How long opening a connection may take.
-const OPEN_LIMIT: Duration = Duration::from_millis(1_000);
-
 /// Why a unit got no connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AcquireError {
@@ -39,6 +46,45 @@
     pub instance: String,
 }
 
+/// What a unit needs of a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectionNeed<'a> {
+    /// Whom it must have been opened for; none if that is all the same.
+    pub caller: Option<&'a str>,
+    /// The session values that it should know.
+    pub values: &'a Values,
+}
+
+impl ConnectionNeed<'_> {
+    /// What the proxy's own statements need.
+    pub const fn own(values: &Values) -> ConnectionNeed<'_> {
+        ConnectionNeed {
+            caller: None,
+            values,
+        }
+    }
+
+    /// Whom a connection is opened for.
+    fn opener(&self) -> &str {
+        self.caller.unwrap_or(UNNAMED_CALLER)
+    }
+
+    fn is_met_by(&self, connection: &ServerConnection) -> bool {
+        self.caller.is_none_or(|caller| caller == connection.caller)
+    }
+}
+
+/// How often units took connections, and what that needed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PoolUse {
+    /// Connections taken.
+    pub taken: u64,
+    /// Connections whose opening was begun.
+    pub opened: u64,
+    /// Unused connections of other callers that were closed for that.
+    pub displaced: u64,
+}
+
 /// How many connections a pool has, and how many units wait for one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoolCounts {
@@ -65,8 +111,8 @@
     idle: Vec<Idle>,
     total: usize,
     limit: usize,
-    waiting: usize,
-    opening: usize,
+    demand: Demand,
+    uses: PoolUse,
     /// The newest connection that could not be opened.
     failure: Option<(Timestamp, OpenError)>,
     /// Until when no connection is opened, since the server has too many.
@@ -101,8 +147,8 @@
                 idle: Vec::new(),
                 total: 0,
                 limit,
-                waiting: 0,
-                opening: 0,
+                demand: Demand::default(),
+                uses: PoolUse::default(),
                 failure: None,
                 full_until: Timestamp::ZERO,
                 full_backoff: Backoff::new(FIRST_FULL_PAUSE, LONGEST_FULL_PAUSE),
@@ -114,7 +160,7 @@
     /// Whether units wait for connections although as many as allowed are open.
     pub fn is_crowded(&self) -> bool {
         let inner = self.lock();
-        inner.idle.is_empty() && inner.total >= inner.limit && inner.waiting > 0
+        inner.idle.is_empty() && inner.total >= inner.limit && inner.demand.waiting() > 0
     }
 
     /// How many connections there are, and how many units wait for one.
@@ -123,7 +169,7 @@
         PoolCounts {
             open: inner.total,
             idle: inner.idle.len(),
-            waiting: inner.waiting,
+            waiting: inner.demand.waiting(),
             limit: inner.limit,
         }
     }
@@ -168,11 +214,22 @@
             std::mem::take(&mut inner.idle)
         };
         drop(closed);
-        self.freed.notify_one();
+        self.freed.notify_waiters();
     }
 
-    /// Waits for a connection, at most until `deadline`; one with these session values is
-    /// preferred.
+    /// How often units took connections since this was asked last, and what that needed.
+    pub fn take_uses(&self) -> PoolUse {
+        std::mem::take(&mut self.lock().uses)
+    }
+
+    /// Whether an unused connection meets the need.
+    pub fn has_idle(&self, need: &ConnectionNeed<'_>) -> bool {
+        let inner = self.lock();
+        let mut idle = inner.idle.iter();
+        idle.any(|idle| need.is_met_by(&idle.connection))
+    }
+
+    /// Waits for a connection that meets the need, at most until `deadline`.
     ///
     /// A connection that is opened for a unit which then gives up stays open for the next one.
     ///
@@ -181,22 +238,25 @@
     /// [`AcquireError`].
     pub async fn acquire(
         self: &Arc<Self>,
-        values: &Values,
+        need: ConnectionNeed<'_>,
         deadline: Timestamp,
     ) -> Result<Lease, AcquireError> {
         let started = self.clock.now();
-        let _waiting = Waiting::new(self);
+        let _waiting = Waiting::new(self, need.opener());
         loop {
-            if let Some(connection) = self.take_idle(values) {
+            // Told of what is freed from here on, also while this looks.
+            let mut freed = std::pin::pin!(self.freed.notified());
+            freed.as_mut().enable();
+            if let Some(connection) = self.take_idle(&need) {
                 return Ok(Lease::new(self, connection));
             }
             if let Some(error) = self.failure_since(started) {
                 return Err(AcquireError::Open(error));
             }
-            if let Some(opening) = self.start_opening() {
+            if let Some(opening) = self.start_opening(&need) {
                 tokio::spawn(opening.run());
             }
-            self.wait_for_room(deadline).await?;
+            self.wait_for_room(freed, deadline).await?;
         }
     }
 
@@ -208,46 +268,64 @@
     }
 
     /// Waits until a connection may be free or may be opened.
-    async fn wait_for_room(&self, deadline: Timestamp) -> Result<(), AcquireError> {
+    async fn wait_for_room(
+        &self,
+        freed: impl Future<Output = ()>,
+        deadline: Timestamp,
+    ) -> Result<(), AcquireError> {
         let now = self.clock.now();
         let full_until = self.lock().full_until;
         let opens_again = full_until > now && full_until < deadline;
         let look = if opens_again { full_until } else { deadline };
-        let freed = tokio::time::timeout_at(self.clock.instant(look), self.freed.notified()).await;
+        let freed = tokio::time::timeout_at(self.clock.instant(look), freed).await;
         if freed.is_err() && !opens_again {
             return Err(AcquireError::Full);
         }
         Ok(())
     }
 
-    fn take_idle(&self, values: &Values) -> Option<ServerConnection> {
+    fn take_idle(&self, need: &ConnectionNeed<'_>) -> Option<ServerConnection> {
         loop {
             let mut connection = {
                 let mut inner = self.lock();
-                let index = best_match(&inner.idle, values)?;
+                let index = best_match(&inner.idle, need)?;
+                inner.uses.taken += 1;
                 // Keeps the order by age.
                 inner.idle.remove(index).connection
             };
             if connection.is_alive() {
                 return Some(connection);
             }
-            self.lock().total -= 1;
+            let mut inner = self.lock();
+            inner.total -= 1;
+            inner.uses.taken -= 1;
         }
     }
 
-    /// One more connection, if the limit allows and not enough are being opened already.
-    fn start_opening(self: &Arc<Self>) -> Option<Opening> {
-        let mut inner = self.lock();
-        let may_open = inner.total < inner.limit && self.clock.now() >= inner.full_until;
-        let wanted = may_open && inner.opening < inner.waiting;
-        wanted.then(|| {
-            inner.total += 1;
-            inner.opening += 1;
-            Opening {
-                pool: Arc::clone(self),
-                connection: None,
+    /// One more connection, if not enough are being opened for the caller already. Where no more
+    /// may be open it takes the place of the connection that was unused for longest.
+    fn start_opening(self: &Arc<Self>, need: &ConnectionNeed<'_>) -> Option<Opening> {
+        let displaced = {
+            let mut inner = self.lock();
+            let is_full = self.clock.now() < inner.full_until;
+            if is_full || !inner.demand.wants_opening(need.opener()) {
+                return None;
             }
-        })
+            let displaced = if inner.total < inner.limit {
+                inner.total += 1;
+                None
+            } else if inner.total == inner.limit && !inner.idle.is_empty() {
+                inner.uses.displaced += 1;
+                Some(inner.idle.remove(0))
+            } else {
+                return None;
+            };
+            inner.demand.start_opening(need.opener());
+            inner.uses.opened += 1;
+            displaced
+        };
+        drop(displaced);
+        Some(Opening::new(self, need.opener()))
     }
 
     fn give_back(&self, connection: ServerConnection) {
@@ -263,7 +341,7 @@
             }
         };
         drop(surplus);
-        self.freed.notify_one();
+        self.freed.notify_waiters();
     }
 
     /// Takes in that a connection could not be opened. A server that has too many is not asked
@@ -280,7 +358,7 @@
 
     fn forget(&self) {
         self.lock().total -= 1;
-        self.freed.notify_one();
+        self.freed.notify_waiters();
     }
 
     fn lock(&self) -> MutexGuard<'_, PoolInner> {
@@ -288,101 +366,35 @@
     }
 }
 
-/// The idle connection that needs the fewest statements before a session's work.
-fn best_match(idle: &[Idle], values: &Values) -> Option<usize> {
+/// The unused connection that meets the need with the fewest statements before the session's work.
+fn best_match(idle: &[Idle], need: &ConnectionNeed<'_>) -> Option<usize> {
     let cost = |idle: &Idle| match &idle.connection.values {
-        known if known == values => 0,
+        known if known == need.values => 0,
         known if known.is_empty() => 1,
         _ => 2,
     };
     let candidates = idle.iter().enumerate().rev();
     candidates
+        .filter(|(_, idle)| need.is_met_by(&idle.connection))
         .min_by_key(|(_, idle)| cost(idle))
         .map(|(index, _)| index)
 }
 
 /// Counts a unit that waits.
-struct Waiting<'a>(&'a Pool);
+struct Waiting<'a> {
+    pool: &'a Pool,
+    caller: &'a str,
+}
 
 impl<'a> Waiting<'a> {
-    fn new(pool: &'a Pool) -> Self {
-        pool.lock().waiting += 1;
-        Waiting(pool)
+    fn new(pool: &'a Pool, caller: &'a str) -> Self {
+        pool.lock().demand.start_waiting(caller);
+        Waiting { pool, caller }
     }
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        self.0.lock().waiting -= 1;
-    }
-}
-
-/// A connection that is being opened.
-struct Opening {
-    pool: Arc<Pool>,
-    connection: Option<ServerConnection>,
-}
-
-impl Opening {
-    async fn run(mut self) {
-        let pool = Arc::clone(&self.pool);
-        let target = &pool.target;
-        let dialect = Arc::clone(&pool.dialect);
-        let open = ServerConnection::open(target.address, dialect, &target.group, &target.instance);
-        let opened = tokio::time::timeout(OPEN_LIMIT, open).await;
-        match opened.unwrap_or(Err(OpenError::Unreachable)) {
-            Ok(connection) => {
-                pool.lock().full_backoff.reset();
-                self.connection = Some(connection);
-            }
-            Err(error) => pool.note_failure(error),
-        }
-    }
-}
-
-impl Drop for Opening {
-    fn drop(&mut self) {
-        self.pool.lock().opening -= 1;
-        match self.connection.take() {
-            Some(connection) => self.pool.give_back(connection),
-            None => {
-                self.pool.forget();
-                self.pool.freed.notify_waiters();
-            }
-        }
-    }
-}
-
-/// A connection for one unit alone. Dropping it closes the connection unless it is reusable.
-#[derive(Debug)]
-pub struct Lease {
-    pool: Arc<Pool>,
-    connection: Option<ServerConnection>,
-}
-
-impl Lease {
-    fn new(pool: &Arc<Pool>, connection: ServerConnection) -> Self {
-        Lease {
-            pool: Arc::clone(pool),
-            connection: Some(connection),
-        }
-    }
-
-    /// The connection; none after it was given up.
-    pub fn connection(&mut self) -> Option<&mut ServerConnection> {
-        self.connection.as_mut()
-    }
-}
-
-impl Drop for Lease {
-    fn drop(&mut self) {
-        match self.connection.take() {
-            Some(connection) if connection.is_reusable() => self.pool.give_back(connection),
-            Some(connection) => {
-                drop(connection);
-                self.pool.forget();
-            }
-            None => self.pool.forget(),
-        }
+        self.pool.lock().demand.stop_waiting(self.caller);
     }
 }
--- /dev/null
+++ b/crates/spurpier-pipeline/src/server/pool/opening.rs
@@ -0,0 +1,91 @@
+//! Connections that are being opened, and those that units hold.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Pool;
+use crate::server::connection::{OpenError, ServerConnection};
+
+/// How long opening a connection may take.
+const OPEN_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// A connection that is being opened.
+pub struct Opening {
+    pool: Arc<Pool>,
+    caller: String,
+    connection: Option<ServerConnection>,
+}
+
+impl Opening {
+    /// A connection to be opened for a caller; the pool counts it already.
+    pub fn new(pool: &Arc<Pool>, caller: &str) -> Self {
+        Opening {
+            pool: Arc::clone(pool),
+            caller: caller.to_owned(),
+            connection: None,
+        }
+    }
+
+    /// Opens it and gives it to the pool.
+    pub async fn run(mut self) {
+        let pool = Arc::clone(&self.pool);
+        let dialect = Arc::clone(&pool.dialect);
+        let open = ServerConnection::open(&pool.target, dialect, &self.caller);
+        let opened = tokio::time::timeout(OPEN_LIMIT, open).await;
+        match opened.unwrap_or(Err(OpenError::Unreachable)) {
+            Ok(connection) => {
+                pool.lock().full_backoff.reset();
+                self.connection = Some(connection);
+            }
+            Err(error) => pool.note_failure(error),
+        }
+    }
+}
+
+impl Drop for Opening {
+    fn drop(&mut self) {
+        self.pool.lock().demand.stop_opening(&self.caller);
+        match self.connection.take() {
+            Some(connection) => self.pool.give_back(connection),
+            None => {
+                self.pool.forget();
+                self.pool.freed.notify_waiters();
+            }
+        }
+    }
+}
+
+/// A connection for one unit alone. Dropping it closes the connection unless it is reusable.
+#[derive(Debug)]
+pub struct Lease {
+    pool: Arc<Pool>,
+    connection: Option<ServerConnection>,
+}
+
+impl Lease {
+    /// Takes a connection of the pool.
+    pub fn new(pool: &Arc<Pool>, connection: ServerConnection) -> Self {
+        Lease {
+            pool: Arc::clone(pool),
+            connection: Some(connection),
+        }
+    }
+
+    /// The connection; none after it was given up.
+    pub fn connection(&mut self) -> Option<&mut ServerConnection> {
+        self.connection.as_mut()
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        match self.connection.take() {
+            Some(connection) if connection.is_reusable() => self.pool.give_back(connection),
+            Some(connection) => {
+                drop(connection);
+                self.pool.forget();
+            }
+            None => self.pool.forget(),
+        }
+    }
+}
--- a/crates/spurpier-pipeline/src/session/mod.rs
+++ b/crates/spurpier-pipeline/src/session/mod.rs
@@ -17,11 +17,12 @@
 use tokio::time::{sleep_until, timeout};
 
 use self::connection::{ClientConnection, Received};
-use self::state::SessionState;
+use self::state::{ClientName, SessionState};
 use crate::configuration::InForce;
 use crate::context::Context;
 use crate::events;
 use crate::ports::{ClientMessage, ErrorClass, Request, ServerError, TransactionState};
+use crate::tenant::Denied;
 
 /// How long a client may take to open its session.
 const START_UP_LIMIT: Duration = Duration::from_secs(3);
@@ -38,48 +39,55 @@
     else {
         return;
     };
-    let Some(database) = start_up(&context, &mut connection).await else {
+    let Some(client) = start_up(&context, &mut connection).await else {
         return;
     };
-    let mut session = SessionState::new(Arc::clone(&context), database);
+    let mut session = SessionState::new(Arc::clone(&context), client);
     let ended = serve_session(&context, &mut connection, &mut session).await;
     session.end().await;
     if ended == Ended::Violation {
         log_event!(events::CLIENT_VIOLATION, peer = peer);
-        let error = ServerError {
-            class: ErrorClass::Malformed,
-            text: "the bytes violate the protocol".to_owned(),
-        };
+        let error = refusal(ErrorClass::Malformed, "the bytes violate the protocol");
         connection.refuse(&error).await;
     }
 }
 
 /// Opens the session; none if it was refused or the client left.
-async fn start_up(context: &Context, connection: &mut ClientConnection) -> Option<String> {
+async fn start_up(context: &Context, connection: &mut ClientConnection) -> Option<ClientName> {
     let received = timeout(START_UP_LIMIT, connection.receive()).await;
     let error = match received.ok()? {
-        Received::Message(ClientMessage::StartUp { database }) => {
-            match known_configuration(context).await {
-                Some(known) if known.route(&database).is_some() => {
-                    return connection.send_started().await.then_some(database);
+        Received::Message(ClientMessage::StartUp { database, key }) => {
+            let admitted = match known_configuration(context).await {
+                Some(known) => known.admit(&database, key).map_err(Denied::error),
+                None => Err(refusal(
+                    ErrorClass::Busy,
+                    "retry-after-ms=500 no configuration",
+                )),
+            };
+            match admitted {
+                Ok(_) => {
+                    let client = ClientName { database, key };
+                    return connection.send_started().await.then_some(client);
                 }
-                Some(_) => (ErrorClass::UnknownDatabase, "no such database"),
-                None => (ErrorClass::Busy, "retry-after-ms=500 no configuration"),
+                Err(error) => error,
             }
         }
         Received::Message(ClientMessage::Request(_)) | Received::Violation => {
-            (ErrorClass::Malformed, "the session is not open")
+            refusal(ErrorClass::Malformed, "the session is not open")
         }
         Received::Message(ClientMessage::Terminate) | Received::Gone => return None,
     };
-    let error = ServerError {
-        class: error.0,
-        text: error.1.to_owned(),
-    };
     connection.refuse(&error).await;
     None
 }
 
+fn refusal(class: ErrorClass, text: &str) -> ServerError {
+    ServerError {
+        class,
+        text: text.to_owned(),
+    }
+}
+
 async fn known_configuration(context: &Context) -> Option<Arc<InForce>> {
     let mut configuration = context.configuration.subscribe();
     let known = configuration.wait_for(Option::is_some);
--- a/crates/spurpier-pipeline/src/session/state.rs
+++ b/crates/spurpier-pipeline/src/session/state.rs
@@ -8,7 +8,7 @@
 
 use crate::context::Context;
 use crate::forward::PlacedTransaction;
-use crate::ports::{Effect, TransactionState};
+use crate::ports::{Effect, KeyDigest, TransactionState};
 use crate::server::Values;
 
 /// A prepared statement of a session.
@@ -20,10 +20,19 @@
     pub shape: String,
 }
 
+/// What a client said of itself when it opened its session.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClientName {
+    /// The database that it named.
+    pub database: String,
+    /// The digest of its key; none if it named none.
+    pub key: Option<KeyDigest>,
+}
+
 /// What is known of a client between its statements.
 pub struct SessionState {
     pub(super) context: Arc<Context>,
-    pub(super) database: String,
+    pub(super) client: ClientName,
     pub(super) values: Values,
     pub(super) prepared: HashMap<String, Prepared>,
     /// The last commit, and the group in whose log it stands.
@@ -35,10 +44,10 @@
 
 impl SessionState {
     /// A session that has just been opened.
-    pub fn new(context: Arc<Context>, database: String) -> Self {
+    pub fn new(context: Arc<Context>, client: ClientName) -> Self {
         SessionState {
             context,
-            database,
+            client,
             values: Values::new(),
             prepared: HashMap::new(),
             own_commit: None,
--- a/crates/spurpier-pipeline/src/session/statements.rs
+++ b/crates/spurpier-pipeline/src/session/statements.rs
@@ -9,6 +9,7 @@
 use super::state::{Prepared, SessionState};
 use crate::forward::{PlacedTransaction, run_single};
 use crate::ports::{Answer, Effect, ErrorClass, Request, Statement, TransactionState};
+use crate::tenant::Denied;
 use crate::unit::{Done, PreparedUse, Times, Unit, Work};
 
 impl SessionState {
@@ -100,16 +101,18 @@
             transaction.prepare(&self.values, |unit| Times::of(&unit.route, clock));
             return transaction.run(&work, effect).await;
         }
-        let Some(unit) = self.unit() else {
-            return Answer::unknown_database();
+        let unit = match self.unit() {
+            Ok(unit) => unit,
+            Err(denied) => return Answer::denied(denied),
         };
         let done = run_single(&unit, &work, effect).await;
         self.settle(&unit.group.name, done)
     }
 
     async fn begin(&mut self, work: Work, read_only: bool) -> Answer {
-        let Some(unit) = self.unit() else {
-            return Answer::unknown_database();
+        let unit = match self.unit() {
+            Ok(unit) => unit,
+            Err(denied) => return Answer::denied(denied),
         };
         let (answer, transaction) = PlacedTransaction::begin(unit, &work, read_only).await;
         self.transaction = transaction;
@@ -136,15 +139,17 @@
         Answer::done(TransactionState::Idle)
     }
 
-    /// The unit of a statement outside a transaction; none if its database has no route now.
-    fn unit(&self) -> Option<Unit> {
-        let in_force = self.context.in_force()?;
-        let route = in_force.route(&self.database)?;
+    /// The unit of a statement outside a transaction, by the configuration in force now: a route
+    /// may have been dropped and a key taken away since the session was opened.
+    fn unit(&self) -> Result<Unit, Denied> {
+        let in_force = self.context.in_force().ok_or(Denied::UnknownDatabase)?;
+        let (route, caller) = in_force.admit(&self.client.database, self.client.key)?;
         let own_commit = self.own_commit.as_ref();
         let own_commit = own_commit.filter(|(group, _)| *group == route.group);
-        Some(Unit {
+        Ok(Unit {
             context: Arc::clone(&self.context),
             group: self.context.group(&route.group),
+            caller,
             values: self.values.clone(),
             own_commit: own_commit.map(|(_, commit)| *commit),
             times: Times::of(&route, &self.context.clock),
--- a/crates/spurpier-pipeline/src/unit/lead.rs
+++ b/crates/spurpier-pipeline/src/unit/lead.rs
@@ -11,7 +11,7 @@
 use crate::context::Context;
 use crate::group::Group;
 use crate::ports::{ErrorClass, ServerRequest, TransactionState};
-use crate::server::{AcquireError, OpenError, Server, Values};
+use crate::server::{AcquireError, ConnectionNeed, OpenError, Server, Values};
 
 /// How long the lead may take to open a transaction before it counts as silent.
 const BEGIN_LIMIT: Duration = Duration::from_millis(500);
@@ -32,7 +32,7 @@
 pub async fn take_lead(
     context: &Context,
     group: &Group,
-    values: &Values,
+    need: ConnectionNeed<'_>,
     until: Timestamp,
 ) -> Result<Place, NotRun> {
     let clock = &context.clock;
@@ -44,7 +44,7 @@
             .filter(|_| context.holds_lease(group));
         let mut missing = NotRun::NoLead;
         if let Some(server) = candidate.filter(|server| answers(server, clock.now())) {
-            match server.pool.acquire(values, until).await {
+            match server.pool.acquire(need, until).await {
                 Ok(lease) => return Ok(Place::new(server, lease)),
                 Err(AcquireError::Full) => return Err(NotRun::NoConnection),
                 Err(AcquireError::Open(OpenError::Refused(ErrorClass::TooManyConnections))) => {
@@ -76,12 +76,12 @@
 pub async fn begin_on_lead(
     context: &Context,
     group: &Group,
-    values: &Values,
+    need: ConnectionNeed<'_>,
     until: Timestamp,
 ) -> Result<Begun, NotRun> {
     let clock = &context.clock;
     loop {
-        let place = take_lead(context, group, values, until).await?;
+        let place = take_lead(context, group, need, until).await?;
         let server = Arc::clone(&place.server);
         let limit = clock.now() + BEGIN_LIMIT;
         let (place, result) = own_attempt(clock, place, ServerRequest::Begin, limit).await;
@@ -132,7 +132,9 @@
             return Ok(());
         }
         if let Some(_turn) = group.start_proving() {
-            let begun = begin_on_lead(context, group, &Values::new(), until).await;
+            let values = Values::new();
+            let need = ConnectionNeed::own(&values);
+            let begun = begin_on_lead(context, group, need, until).await;
             let mut begun = begun?;
             if let Ok(connection) = begun.place.connection() {
                 // A connection that breaks here is closed when the place is dropped.
@@ -151,11 +153,11 @@
 impl Unit {
     /// As [`begin_on_lead`], for this unit.
     pub async fn begin_on_lead(&self, until: Timestamp) -> Result<Begun, NotRun> {
-        begin_on_lead(&self.context, &self.group, &self.values, until).await
+        begin_on_lead(&self.context, &self.group, self.connection_need(), until).await
     }
 
     /// As [`take_lead`], for this unit.
     pub async fn take_lead(&self, until: Timestamp) -> Result<Place, NotRun> {
-        take_lead(&self.context, &self.group, &self.values, until).await
+        take_lead(&self.context, &self.group, self.connection_need(), until).await
     }
 }
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -32,7 +32,8 @@
 use crate::group::Group;
 use crate::homes::PeerNode;
 use crate::ports::{Answer, Effect, ErrorClass, FreshnessKind, Route, TransactionState};
-use crate::server::{Server, Values};
+use crate::server::{ConnectionNeed, Server, Values};
+use crate::tenant::Caller;
 
 /// What a unit knows of its session and its route.
 pub struct Unit {
@@ -42,6 +43,8 @@
     pub group: Arc<Group>,
     /// Its route.
     pub route: Arc<Route>,
+    /// Whom it is run for.
+    pub caller: Caller,
     /// The session's values.
     pub values: Values,
     /// The session's last commit in this group.
@@ -67,7 +70,7 @@
     NoServer,
     /// No home of the group can be reached.
     NoHome,
-    /// A newer configuration gives the database to another group.
+    /// A newer configuration gives the database to another group, or the key to another tenant.
     Rerouted,
 }
 
@@ -184,6 +187,14 @@
         }
     }
 
+    /// What it needs of a connection.
+    pub(crate) fn connection_need(&self) -> ConnectionNeed<'_> {
+        ConnectionNeed {
+            caller: Some(self.caller.name()),
+            values: &self.values,
+        }
+    }
+
     /// The answer of a unit that a newer configuration than that of its route does not let run
     /// here; none if it may run.
     ///
@@ -195,10 +206,13 @@
         if in_force.configuration.version <= self.configuration {
             return None;
         }
-        match in_force.route(&self.route.database) {
-            Some(route) if route.group == self.route.group => None,
-            Some(_) => Some(self.refuse(id, NotRun::Rerouted)),
-            None => Some(Answer::unknown_database()),
+        match in_force.admit(&self.route.database, self.caller.key) {
+            Ok((_, caller)) if caller.tenant != self.caller.tenant => {
+                Some(self.refuse(id, NotRun::Rerouted))
+            }
+            Ok((route, _)) if route.group == self.route.group => None,
+            Ok(_) => Some(self.refuse(id, NotRun::Rerouted)),
+            Err(denied) => Some(Answer::denied(denied)),
         }
     }
 
--- a/crates/spurpier-pipeline/src/unit/read.rs
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -231,7 +231,7 @@
         let server = Arc::clone(&servers[chosen]);
         tried.push(server.instance.clone());
         let until = self.times.wait_until;
-        match server.pool.acquire(&self.values, until).await {
+        match server.pool.acquire(self.connection_need(), until).await {
             Ok(lease) => Ok(Some(Place::new(server, lease))),
             Err(AcquireError::Full) => {
                 server.health().avoid(clock.now());
