Count tenants' operations at authorities that most nodes vote for

Ruled out: shares of each node (a tenant has three sessions a node: most of its limit would go unused); counts told afterwards (a tenant with seven times its load exceeds its bound within half a second); leaves held ahead of need (59 nodes hold more of a small tenant's bound than there is).

Change: spurpier_core::quota. A node asks one of four authorities for leave to start operations; a leave lives 0.4 s; only an authority that most listed nodes have asked within 0.7 s gives the whole rate. Found while proving it: questions that were long on the way counted as votes, and let two authorities give the rate; votes now count from a moment of the authority's own clock that the node was told before. A first question, which cannot vote, is asked again at once, and a minority's pause is 150 ms (before, a client was told 1.7 s after a start).

Random steps notice a missing majority, written sequences late leaves and late votes.

--- a/crates/spurpier-core/src/lib.rs
+++ b/crates/spurpier-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod policy;
 pub mod pool;
 pub mod position;
+pub mod quota;
 pub mod reason;
 pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/crates/spurpier-core/tests/quota.rs
@@ -0,0 +1,262 @@
+//! Leave to start tenants' operations, in a model with cuts, pauses, restarts, late and lost
+//! messages, nodes that are wrong about whom they reach, and limits that change. The oracle counts
+//! every sliding window.
+//!
+//! Longer rounds by hand: `PROOF_SEED=7 PROOF_CASES=20000 cargo test -p spurpier-core --test quota`.
+
+mod quota_model;
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use quota_model::{BOUND, Breakage, NODES, Step, World, steps};
+use spurpier_core::quota::{
+    AuthorityChoice, Bucket, Budget, LEAVE_LIFE, QuotaRate, Stamp, VOTE_LIFE,
+};
+use spurpier_core::time::Timestamp;
+
+const DEFAULT_SEED: u64 = 1;
+const DEFAULT_CASES: u64 = 300;
+
+fn number_from(variable: &str, default: u64) -> u64 {
+    let text = std::env::var(variable).ok();
+    text.map_or(default, |text| text.parse().expect("a number"))
+}
+
+fn config(cases: u64) -> Config {
+    Config {
+        cases: u32::try_from(cases).expect("few cases"),
+        rng_seed: RngSeed::Fixed(number_from("PROOF_SEED", DEFAULT_SEED)),
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..Config::default()
+    }
+}
+
+/// Any step may follow any other.
+struct AnyStep;
+
+impl ReferenceStateMachine for AnyStep {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        steps().boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+struct Quotas;
+
+impl StateMachineTest for Quotas {
+    type SystemUnderTest = World;
+    type Reference = AnyStep;
+
+    fn init_test((): &()) -> World {
+        World::new(Breakage::None)
+    }
+
+    fn apply(mut world: World, (): &(), step: Step) -> World {
+        world.apply(step);
+        world
+    }
+
+    fn check_invariants(world: &World, (): &()) {
+        assert_eq!(world.broken_window(), None);
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config(number_from("PROOF_CASES", DEFAULT_CASES)))]
+
+    #[test]
+    fn no_window_holds_more_than_its_bound(sequential 1..60 => Quotas);
+}
+
+/// Whether random steps find that a window holds more than its bound.
+fn is_noticed(breakage: Breakage) -> bool {
+    let mut runner = TestRunner::new(config(400));
+    let cases = proptest::collection::vec(steps(), 1..60);
+    let played = runner.run(&cases, |steps| {
+        let mut world = World::new(breakage);
+        steps.into_iter().for_each(|step| world.apply(step));
+        prop_assert!(world.broken_window().is_none());
+        Ok(())
+    });
+    played.is_err()
+}
+
+#[test]
+fn the_model_notices_each_mechanism_that_is_taken_out() {
+    for breakage in Breakage::COMMON {
+        assert!(is_noticed(breakage), "{breakage:?}");
+    }
+}
+
+/// All nodes go from one authority to another and back, faster than their votes end.
+#[test]
+fn two_authorities_in_turn_give_no_more_than_one() {
+    let mut world = World::new(Breakage::None);
+    world.apply(Step::Demand(12));
+    for turn in 0..40 {
+        for node in 0..NODES {
+            world.apply(Step::Believe(node, 1 << (turn % 2)));
+        }
+        world.apply(Step::Pass(6));
+    }
+    assert_eq!(world.broken_window(), None);
+}
+
+#[test]
+fn another_authority_is_asked_when_the_vote_for_the_former_one_is_over() {
+    let asked_at = Timestamp::from_millis(10_000);
+    let mut choice = AuthorityChoice::default();
+    assert_eq!(choice.choose(&["n0", "n1"], asked_at), Some("n0"));
+    choice.note_asked(asked_at);
+    let before = (asked_at + VOTE_LIFE).before(Duration::from_millis(1));
+    assert_eq!(choice.choose(&["n1"], before), None);
+    assert_eq!(choice.choose(&["n0", "n1"], before), Some("n0"));
+    assert_eq!(choice.choose(&["n1"], asked_at + VOTE_LIFE), Some("n1"));
+    // One that leaves gives nothing more, and votes for it are void.
+    choice.note_asked(asked_at + VOTE_LIFE);
+    choice.note_left("n1");
+    assert_eq!(choice.choose(&["n2"], asked_at + VOTE_LIFE), Some("n2"));
+}
+
+#[test]
+fn a_node_stays_with_a_majority_and_leaves_a_minority() {
+    let start = Timestamp::from_millis(10_000);
+    let stamp = Stamp { life: 1, at: start };
+    let mut choice = AuthorityChoice::default();
+    assert_eq!(choice.choose(&["n1"], start), Some("n1"));
+    choice.note_answer("n1", true, stamp, start);
+    let later = start + VOTE_LIFE;
+    assert_eq!(choice.choose(&["n0", "n1"], later), Some("n1"));
+    choice.note_answer("n1", false, stamp, later);
+    assert_eq!(choice.choose(&["n0", "n1"], later), Some("n0"));
+    // Most nodes may be with the second one.
+    choice.note_answer("n0", false, stamp, later);
+    assert_eq!(choice.choose(&["n0", "n1"], later), Some("n0"));
+    let patient = later + Duration::from_secs(2);
+    assert_eq!(choice.choose(&["n0", "n1"], patient), Some("n1"));
+}
+
+/// For three seconds all questions reach the authority at once, and each second answer takes three
+/// seconds; then the late answers come together with those to later questions.
+#[test]
+fn leaves_that_come_late_are_not_used() {
+    let play = |breakage| {
+        let mut world = World::new(breakage);
+        world.apply(Step::Demand(12));
+        world.apply(Step::Pass(40));
+        for _ in 0..30 {
+            world.apply(Step::Delay(0));
+            world.apply(Step::Pass(1));
+            world.apply(Step::Delay(3_000));
+            world.apply(Step::Pass(1));
+        }
+        world.apply(Step::Delay(20));
+        world.apply(Step::Pass(100));
+        world.broken_window()
+    };
+    assert_eq!(play(Breakage::None), None);
+    assert!(play(Breakage::LateLeaves).is_some());
+}
+
+/// Questions of three seconds meet an authority that stood still, while most nodes ask another one.
+#[test]
+fn questions_that_come_late_are_no_votes() {
+    let play = |breakage| {
+        let mut world = World::new(breakage);
+        world.apply(Step::Demand(12));
+        world.apply(Step::Pass(40));
+        // Votes alone are on the way.
+        world.apply(Step::Demand(0));
+        world.apply(Step::Delay(3_000));
+        world.apply(Step::Pass(59));
+        world.apply(Step::Delay(20));
+        world.apply(Step::Demand(12));
+        for node in 2..NODES {
+            world.apply(Step::Believe(node, 0b1_1110));
+        }
+        world.apply(Step::Pass(120));
+        world.broken_window()
+    };
+    assert_eq!(play(Breakage::None), None);
+    assert!(play(Breakage::OldVotes).is_some());
+}
+
+/// Operations that a tenant far beyond its limit is served in calm, beside its limit.
+#[test]
+fn a_hot_tenant_is_served_nearly_all_of_its_limit() {
+    for (index, rate) in [(0, 200.0), (1, 40.0), (2, 8.0)] {
+        let mut world = World::new(Breakage::None);
+        world.apply(Step::Limit(index));
+        world.apply(Step::Demand(12));
+        let before = world.arrived();
+        let seconds = 30;
+        (0..seconds).for_each(|_| world.apply(Step::Pass(20)));
+        let served = (world.arrived() - before) as f64;
+        let limit = rate * f64::from(seconds);
+        assert!(served >= limit * 0.95, "{served} of {limit}");
+        assert_eq!(world.broken_window(), None);
+    }
+}
+
+#[test]
+fn the_second_authority_takes_over_when_the_first_stands_still() {
+    let mut world = World::new(Breakage::None);
+    world.apply(Step::Pass(100));
+    world.apply(Step::Freeze(0, true));
+    for node in 0..NODES {
+        world.apply(Step::Believe(node, 0b1_1110));
+    }
+    world.apply(Step::Pass(40));
+    let before = world.arrived();
+    world.apply(Step::Pass(100));
+    let served = (world.arrived() - before) as f64;
+    assert!(served >= 40.0 * 5.0 * 0.95, "{served} operations in 5 s");
+    assert_eq!(world.broken_window(), None);
+}
+
+/// A budget gives the whole rate, and together with all that may be added the bound.
+#[test]
+fn a_budget_stays_within_the_bound() {
+    for (per_second, burst) in [(216.0, 216.0), (8.0, 8.0), (60.0, 10.0), (1_000.0, 1_000.0)] {
+        let rate = QuotaRate { per_second, burst };
+        let budget = Budget::of(rate, BOUND);
+        assert!(budget.per_second >= per_second * 0.95);
+        assert!(budget.capacity >= 1.0);
+        let early = LEAVE_LIFE + Duration::from_millis(200);
+        let used = per_second * (BOUND.window + early).as_secs_f64();
+        let most = used + budget.capacity + budget.remainder;
+        assert!(most <= BOUND.most(rate) + 1e-6, "{per_second}: {most}");
+    }
+}
+
+#[test]
+fn a_bucket_gives_its_rate_and_no_more_than_its_capacity() {
+    let rate = QuotaRate {
+        per_second: 10.0,
+        burst: 10.0,
+    };
+    let budget = Budget::of(rate, BOUND);
+    let start = Timestamp::from_millis(1_000);
+    let mut bucket = Bucket::empty_at(budget, start);
+    assert_eq!(bucket.give(5, start), 0);
+    assert_eq!(bucket.wait(start), Duration::from_millis(100));
+    let later = start + Duration::from_millis(250);
+    assert_eq!(bucket.give(5, later), 2);
+    let long_after = later + Duration::from_secs(60);
+    assert_eq!(
+        f64::from(bucket.give(1_000, long_after)),
+        budget.capacity.floor()
+    );
+}
--- a/crates/spurpier-pipeline/src/configuration/mod.rs
+++ b/crates/spurpier-pipeline/src/configuration/mod.rs
@@ -13,7 +13,8 @@
 use crate::directory::share_connections;
 use crate::events;
 use crate::follow::RowSink;
-use crate::ports::{Configuration, KeyDigest, Route, Row, Table, Tenant};
+use crate::ports::{Configuration, KeyDigest, Quota, Route, Row, Table, Tenant};
+use crate::quota::TenantQuota;
 use crate::tenant::{Caller, Denied};
 
 /// A configuration, indexed.
@@ -25,6 +26,8 @@
     connections: HashMap<String, usize>,
     /// The holders of keys; none if clients are not told apart.
     holders: Option<HashMap<KeyDigest, Arc<str>>>,
+    /// How much tenants may ask for, by their names.
+    quotas: HashMap<String, Quota>,
 }
 
 impl InForce {
@@ -37,10 +40,14 @@
         }
         let groups = configuration.groups.iter();
         let connections = groups.map(|group| (group.name.clone(), group.connections));
+        let tenants = configuration.tenants.iter().flatten();
+        let quotas = tenants.filter_map(|tenant| Some((tenant.name.clone(), tenant.quota?)));
+        let quotas = quotas.collect();
         let holders = configuration.tenants.as_deref().map(key_holders);
         InForce {
             connections: connections.collect(),
             holders,
+            quotas,
             routes,
             configuration,
         }
@@ -70,6 +77,18 @@
         Ok((route, Caller { tenant, key }))
     }
 
+    /// How much a tenant may ask for; none if that is not bounded.
+    pub fn quota(&self, tenant: &str) -> Option<TenantQuota> {
+        let quota = self.quotas.get(tenant).copied()?;
+        let version = self.configuration.version;
+        Some(TenantQuota { quota, version })
+    }
+
+    /// Whether the operations of any tenant are bounded.
+    pub fn has_quotas(&self) -> bool {
+        !self.quotas.is_empty()
+    }
+
     /// The connections that each server of a group takes; none if the group is not known.
     pub fn connections(&self, group: &str) -> Option<usize> {
         self.connections.get(group).copied()
--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -25,6 +25,7 @@
 use crate::ports::{
     ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
 };
+use crate::quota::Quotas;
 use crate::server::Server;
 use crate::settings::PipelineSettings;
 
@@ -61,6 +62,8 @@
     pub groups: Mutex<BTreeMap<String, Arc<Group>>>,
     /// The other nodes, and which nodes are the homes of each group.
     pub homes: Homes,
+    /// Leave to start tenants' operations.
+    pub quotas: Quotas,
     /// The connections to other nodes that take forwarded units.
     pub links: Links,
     /// Whether the store left this node's last call without an answer.
--- a/crates/spurpier-pipeline/src/follow/peer.rs
+++ b/crates/spurpier-pipeline/src/follow/peer.rs
@@ -130,7 +130,9 @@
         let end = clock.instant(clock.now() + limit);
         match link.call_while_moving(call, end).await {
             Outcome::Replied(Reply::News(news)) => Ok(news),
-            Outcome::Replied(Reply::NotTaken | Reply::Answered(_)) => Err(Missed::NotTaken),
+            Outcome::Replied(Reply::NotTaken | Reply::Answered(_) | Reply::Leaves(_)) => {
+                Err(Missed::NotTaken)
+            }
             Outcome::NotSent | Outcome::Lost => Err(Missed::Unanswered),
         }
     }
--- a/crates/spurpier-pipeline/src/forward/messages.rs
+++ b/crates/spurpier-pipeline/src/forward/messages.rs
@@ -16,6 +16,7 @@
 use crate::ports::{
     Answer, Completion, Effect, ErrorClass, FreshnessKind, KeyDigest, ServerError, TransactionState,
 };
+use crate::quota::{LeaveAnswer, LeaveQuestion};
 use crate::server::Values;
 use crate::tenant::Caller;
 use crate::unit::{PreparedUse, Work};
@@ -95,6 +96,8 @@
         /// The statement.
         work: CalledWork,
     },
+    /// Asks for leave to start operations of tenants.
+    Leaves(LeaveQuestion),
     /// Asks what the runner knows of a table of the store.
     Follow {
         /// The table's number.
@@ -208,6 +211,8 @@
     Answered(CalledAnswer),
     /// What is known of a table, and what of it is new.
     News(News),
+    /// How many operations may start.
+    Leaves(LeaveAnswer),
 }
 
 /// [`Answer`] as a message carries it, and what it commits.
--- a/crates/spurpier-pipeline/src/forward/server.rs
+++ b/crates/spurpier-pipeline/src/forward/server.rs
@@ -21,6 +21,7 @@
 use crate::context::Context;
 use crate::known_tables::News;
 use crate::ports::{Answer, Effect, ErrorClass, Route, TransactionState};
+use crate::quota::answer_question;
 use crate::tenant::Caller;
 use crate::unit::{Times, Unit, Work};
 
@@ -197,6 +198,9 @@
                 session,
                 work,
             } => self.commit(transaction, &session, Work::from(work)).await,
+            Call::Leaves(question) => {
+                answer_question(&self.context, question).map_or(Reply::NotTaken, Reply::Leaves)
+            }
             Call::Follow {
                 table,
                 version,
--- a/crates/spurpier-pipeline/src/homes/chosen.rs
+++ b/crates/spurpier-pipeline/src/homes/chosen.rs
@@ -101,10 +101,7 @@
                 .collect();
             let mut order = rank_homes(subject, &ranked);
             if preference == Preference::WideLink {
-                let links = members.iter().map(|(_, node)| node.link_mbps);
-                let widest = links.fold(0.0, f64::max);
-                // Stable: within each of the two parts the ranks hold.
-                order.sort_by_key(|index| members[*index].1.link_mbps < widest * WIDE_LINK);
+                put_wide_first(&mut order, |index| members[index].1.link_mbps);
             }
             chosen.extend(order.into_iter().take(per_zone).map(|index| {
                 let (name, node) = members[index];
@@ -125,6 +122,21 @@
         }
     }
 
+    /// The first-ranked nodes of the whole fleet for a subject, those with wide links first.
+    pub fn rank(nodes: &BTreeMap<&str, &NodeEntry>, subject: &str, count: usize) -> Vec<PeerNode> {
+        let members: Vec<_> = nodes.iter().collect();
+        let ranked: Vec<RankedNode> = members
+            .iter()
+            .map(|(name, node)| node.ranked(name))
+            .collect();
+        let mut order = rank_homes(subject, &ranked);
+        put_wide_first(&mut order, |index| members[index].1.link_mbps);
+        let first = order.into_iter().take(count);
+        first
+            .map(|index| peer_node(members[index].0, members[index].1))
+            .collect()
+    }
+
     /// How far a zone is.
     pub fn distance(&self, zone: &str) -> Distance {
         if zone == self.zone {
@@ -137,6 +149,13 @@
     }
 }
 
+/// Puts nodes with wide links before the others; within each of the two parts the order holds.
+fn put_wide_first(order: &mut [usize], link_mbps: impl Fn(usize) -> f64) {
+    let widest = order.iter().map(|index| link_mbps(*index));
+    let widest = widest.fold(0.0, f64::max);
+    order.sort_by_key(|index| link_mbps(*index) < widest * WIDE_LINK);
+}
+
 /// A node under its name.
 pub fn peer_node(name: &str, entry: &NodeEntry) -> PeerNode {
     PeerNode {
--- a/crates/spurpier-pipeline/src/lib.rs
+++ b/crates/spurpier-pipeline/src/lib.rs
@@ -24,6 +24,7 @@
 mod node_entry;
 pub mod ports;
 pub mod progress;
+mod quota;
 mod readiness;
 mod server;
 mod session;
--- a/crates/spurpier-pipeline/src/metrics.rs
+++ b/crates/spurpier-pipeline/src/metrics.rs
@@ -87,6 +87,7 @@
     store_calls: Family<Kind, Counter>,
     connections: Family<ConnectionLabels, Gauge>,
     connection_uses: Family<Kind, Counter>,
+    leave_questions: Counter,
     proof_ages: Family<GroupLabels, Gauge>,
     homes: Family<GroupLabels, Gauge>,
     configuration: Gauge,
@@ -113,6 +114,7 @@
             store_calls: Family::default(),
             connections: Family::default(),
             connection_uses: Family::default(),
+            leave_questions: Counter::default(),
             proof_ages: Family::default(),
             homes: Family::default(),
             configuration: Gauge::default(),
@@ -144,6 +146,8 @@
         registry.register("connections", text, self.connections.clone());
         let text = "Connections to servers, by what units did with them";
         registry.register("connection_uses", text, self.connection_uses.clone());
+        let text = "Questions to authorities for leave to start operations, votes among them";
+        registry.register("leave_questions", text, self.leave_questions.clone());
         let text = "Age of the newest proof of lead, in milliseconds; -1 without one";
         registry.register("proof_age_ms", text, self.proof_ages.clone());
         let text = "Homes of a group, this node among them if it is one";
@@ -195,6 +199,11 @@
         self.calls.get_or_create(&Kind { kind: "taken" }).inc();
     }
 
+    /// Counts a question for leave to start operations.
+    pub fn count_leave_question(&self) {
+        self.leave_questions.inc();
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, answered: bool) {
         let kind = if answered { "answered" } else { "failed" };
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -32,6 +32,7 @@
 use crate::ports::{
     ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
 };
+use crate::quota::{Quotas, ask_authorities};
 use crate::readiness;
 use crate::session::serve_client;
 use crate::settings::{ListenSettings, PipelineSettings};
@@ -176,6 +177,7 @@
         let context = Context {
             retry_budget: Mutex::new(RetryBudget::new(RETRY_BUDGET, clock.now())),
             homes: Homes::new(&parts.settings),
+            quotas: Quotas::new(&parts.settings.bounds),
             settings: parts.settings,
             clock,
             client_dialect: parts.client_dialect,
@@ -216,6 +218,7 @@
     tokio::spawn(share_after_start(shared()));
     tokio::spawn(close_unused(shared()));
     tokio::spawn(keep_listed(shared()));
+    tokio::spawn(ask_authorities(shared()));
 }
 
 fn start_duty(context: &Arc<Context>, socket: UdpSocket) {
--- /dev/null
+++ b/crates/spurpier-pipeline/src/quota/messages.rs
@@ -0,0 +1,146 @@
+//! What nodes say to each other about leaves.
+
+use std::time::Duration;
+
+use nanoserde::{DeBin, SerBin};
+use spurpier_core::quota::{Grant, QuotaRate, Stamp, Want};
+use spurpier_core::time::Timestamp;
+use spurpier_core::wire::List;
+
+use crate::forward::{duration, millis};
+
+/// A node's question to the authority of a seat, which is its vote as well.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct LeaveQuestion {
+    /// The seat.
+    pub seat: u8,
+    /// The name of the node that asks.
+    pub voter: String,
+    sent_after: Option<CalledStamp>,
+    wants: List<CalledWant>,
+}
+
+/// [`Stamp`] as a message carries it.
+#[derive(Debug, Clone, Copy, PartialEq, SerBin, DeBin)]
+struct CalledStamp {
+    life: u64,
+    at_micros: u64,
+}
+
+impl From<Stamp> for CalledStamp {
+    fn from(stamp: Stamp) -> Self {
+        CalledStamp {
+            life: stamp.life,
+            at_micros: stamp.at.as_micros(),
+        }
+    }
+}
+
+impl From<CalledStamp> for Stamp {
+    fn from(stamp: CalledStamp) -> Self {
+        Stamp {
+            life: stamp.life,
+            at: Timestamp::from_micros(stamp.at_micros),
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+struct CalledWant {
+    tenant: String,
+    waiting: u32,
+    per_second: f64,
+    burst: f64,
+    version: u64,
+}
+
+impl LeaveQuestion {
+    /// A question for these tenants; without any it is a vote alone.
+    pub fn new<'a>(
+        seat: u8,
+        voter: &str,
+        sent_after: Option<Stamp>,
+        wants: impl Iterator<Item = (&'a str, Want)>,
+    ) -> Self {
+        let wants = wants.map(|(tenant, want)| CalledWant {
+            tenant: tenant.to_owned(),
+            waiting: want.waiting,
+            per_second: want.rate.per_second,
+            burst: want.rate.burst,
+            version: want.version,
+        });
+        LeaveQuestion {
+            seat,
+            voter: voter.to_owned(),
+            sent_after: sent_after.map(CalledStamp::from),
+            wants: List(wants.collect()),
+        }
+    }
+
+    /// A moment of the authority's clock after which it was sent.
+    pub fn sent_after(&self) -> Option<Stamp> {
+        self.sent_after.map(Stamp::from)
+    }
+
+    /// What is asked for each tenant.
+    pub fn into_wants(self) -> impl Iterator<Item = (String, Want)> {
+        self.wants.0.into_iter().map(|want| {
+            let rate = QuotaRate {
+                per_second: want.per_second,
+                burst: want.burst,
+            };
+            let wanted = Want {
+                waiting: want.waiting,
+                rate,
+                version: want.version,
+            };
+            (want.tenant, wanted)
+        })
+    }
+}
+
+/// An authority's answer: a grant for each tenant of the question, in its order.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct LeaveAnswer {
+    /// Whether it has the votes of most nodes.
+    pub has_majority: bool,
+    stamp: CalledStamp,
+    grants: List<CalledGrant>,
+}
+
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+struct CalledGrant {
+    leaves: u32,
+    pause_ms: u32,
+}
+
+impl LeaveAnswer {
+    /// An answer with these grants.
+    pub fn new(has_majority: bool, stamp: Stamp, grants: &[Grant]) -> Self {
+        let grants = grants.iter().map(|grant| CalledGrant {
+            leaves: grant.leaves,
+            pause_ms: millis(grant.pause),
+        });
+        LeaveAnswer {
+            has_majority,
+            stamp: CalledStamp::from(stamp),
+            grants: List(grants.collect()),
+        }
+    }
+
+    /// The moment of the authority's clock at which it answered.
+    pub fn stamp(&self) -> Stamp {
+        Stamp::from(self.stamp)
+    }
+
+    /// The grants.
+    pub fn grants(&self) -> impl Iterator<Item = Grant> {
+        self.grants.0.iter().map(|grant| {
+            let pause: Duration = duration(grant.pause_ms);
+            Grant {
+                leaves: grant.leaves,
+                pause,
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/quota/mod.rs
@@ -0,0 +1,181 @@
+//! Leave to start operations of tenants whose rate is bounded.
+//!
+//! The decisions are [`spurpier_core::quota`]'s. Tenants are spread over a few seats; for each seat
+//! every node ranks the same nodes, and asks the first one that it reaches.
+
+mod messages;
+mod seat;
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use rand::RngExt;
+use spurpier_core::homes::subject_digest;
+use spurpier_core::quota::{Authority, Grant, Leave, Ledger, QuotaBound, QuotaRate, Taken, Want};
+use spurpier_core::time::Timestamp;
+use tokio::sync::oneshot;
+
+pub use self::messages::{LeaveAnswer, LeaveQuestion};
+use self::seat::Seat;
+use crate::context::Context;
+use crate::ports::Quota;
+use crate::settings::BoundSettings;
+
+/// Seats over which tenants are spread: as many nodes count operations. Each question of a node
+/// goes to one of them, so that of 59 nodes with 1,200 operations a second each of four answers 300
+/// questions a second.
+const SEATS: u8 = 4;
+/// What a client is told to wait when no authority can be asked.
+const UNREACHED_PAUSE: Duration = Duration::from_millis(300);
+
+/// Why an operation may not start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refused {
+    /// The tenant is at its limit for so long.
+    OverQuota(Duration),
+    /// No authority has answered; one may within this time.
+    NoAuthority(Duration),
+}
+
+/// A tenant's bound, as a configuration has it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TenantQuota {
+    /// The bound.
+    pub quota: Quota,
+    /// The version of the configuration.
+    pub version: u64,
+}
+
+impl TenantQuota {
+    fn rate(&self) -> QuotaRate {
+        QuotaRate {
+            per_second: self.quota.per_second,
+            burst: self.quota.burst,
+        }
+    }
+}
+
+/// The leaves of this node's clients, and what it counts for others.
+#[derive(Debug)]
+pub struct Quotas {
+    ledger: Mutex<Ledger>,
+    seats: Vec<Arc<Seat>>,
+    authorities: Mutex<HashMap<u8, Authority>>,
+    bound: QuotaBound,
+    /// Tells this process's life from others of the node.
+    life: u64,
+}
+
+impl Quotas {
+    /// No leaves, and nothing counted.
+    pub fn new(bounds: &BoundSettings) -> Self {
+        Quotas {
+            ledger: Mutex::default(),
+            seats: (0..SEATS).map(|index| Arc::new(Seat::new(index))).collect(),
+            authorities: Mutex::default(),
+            life: rand::rng().random(),
+            bound: QuotaBound {
+                window: Duration::from_secs_f64(bounds.quota_window_s),
+                overage: bounds.quota_overage,
+                slack: bounds.quota_slack,
+            },
+        }
+    }
+
+    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn seat(&self, tenant: &str) -> &Arc<Seat> {
+        let digest = subject_digest(tenant);
+        &self.seats[(digest % u64::from(SEATS)) as usize]
+    }
+
+    /// Answers a node's question, when so many nodes are listed.
+    fn answer(&self, question: LeaveQuestion, nodes: usize, now: Timestamp) -> LeaveAnswer {
+        let authorities = self.authorities.lock();
+        let mut authorities = authorities.unwrap_or_else(PoisonError::into_inner);
+        let authority = authorities
+            .entry(question.seat)
+            .or_insert_with(|| Authority::new(self.bound, self.life));
+        let sent_after = question.sent_after();
+        authority.note_vote(&question.voter, sent_after, nodes, now);
+        let mut grant = |tenant: &str, want: Want| {
+            let spread = rand::rng().random();
+            authority.grant(tenant, want, nodes, spread, now)
+        };
+        let wants = question.into_wants();
+        let grants: Vec<Grant> = wants.map(|(tenant, want)| grant(&tenant, want)).collect();
+        LeaveAnswer::new(authority.has_majority(), authority.stamp(now), &grants)
+    }
+}
+
+/// The leave of an operation; given back if the operation has not run.
+#[derive(Debug)]
+pub struct OperationLeave {
+    tenant: Arc<str>,
+    leave: Leave,
+}
+
+/// Takes a leave for an operation of a tenant, at most until `until`.
+///
+/// # Errors
+///
+/// [`Refused`], at once where that is known already.
+pub async fn take_leave(
+    context: &Context,
+    tenant: &Arc<str>,
+    quota: TenantQuota,
+    until: Timestamp,
+) -> Result<OperationLeave, Refused> {
+    let quotas = &context.quotas;
+    let taken = quotas.ledger().take(tenant, context.clock.now());
+    let leave = match taken {
+        Taken::Leave(leave) => leave,
+        Taken::Limited(pause) => return Err(Refused::OverQuota(pause)),
+        Taken::Ask => {
+            let asked = quotas.seat(tenant).ask(tenant, quota);
+            await_leave(context, asked, until).await?
+        }
+    };
+    let tenant = Arc::clone(tenant);
+    Ok(OperationLeave { tenant, leave })
+}
+
+async fn await_leave(
+    context: &Context,
+    asked: oneshot::Receiver<Result<Leave, Refused>>,
+    until: Timestamp,
+) -> Result<Leave, Refused> {
+    let unreached = Refused::NoAuthority(UNREACHED_PAUSE);
+    let limit = context.clock.instant(until);
+    let answered = tokio::time::timeout_at(limit, asked).await;
+    answered.map_err(|_| unreached)?.map_err(|_| unreached)?
+}
+
+/// Takes back the leave of an operation that has not run.
+pub fn put_back(context: &Context, leave: OperationLeave) {
+    let now = context.clock.now();
+    let mut ledger = context.quotas.ledger();
+    ledger.put_back(&leave.tenant, leave.leave, now);
+}
+
+/// Answers another node's question; none if this node is about to end, so that votes for it are
+/// void.
+pub fn answer_question(context: &Context, question: LeaveQuestion) -> Option<LeaveAnswer> {
+    if context.draining.is_cancelled() {
+        return None;
+    }
+    let nodes = context.homes.listed_count();
+    let answer = context.quotas.answer(question, nodes, context.clock.now());
+    Some(answer)
+}
+
+/// Asks the authorities of all seats for what clients wait for; never returns.
+pub async fn ask_authorities(context: Arc<Context>) {
+    for seat in &context.quotas.seats {
+        tokio::spawn(Arc::clone(seat).run(Arc::clone(&context)));
+    }
+    std::future::pending::<()>().await;
+}
--- a/crates/spurpier-pipeline/src/server/pool/mod.rs
+++ b/crates/spurpier-pipeline/src/server/pool/mod.rs
@@ -222,13 +222,6 @@
         std::mem::take(&mut self.lock().uses)
     }
 
-    /// Whether an unused connection meets the need.
-    pub fn has_idle(&self, need: &ConnectionNeed<'_>) -> bool {
-        let inner = self.lock();
-        let mut idle = inner.idle.iter();
-        idle.any(|idle| need.is_met_by(&idle.connection))
-    }
-
     /// Waits for a connection that meets the need, at most until `deadline`.
     ///
     /// A connection that is opened for a unit which then gives up stays open for the next one.
--- a/crates/spurpier-pipeline/src/session/statements.rs
+++ b/crates/spurpier-pipeline/src/session/statements.rs
@@ -9,8 +9,9 @@
 use super::state::{Prepared, SessionState};
 use crate::forward::{PlacedTransaction, run_single};
 use crate::ports::{Answer, Effect, ErrorClass, Request, Statement, TransactionState};
+use crate::quota::{self, OperationLeave, Refused};
 use crate::tenant::Denied;
-use crate::unit::{Done, PreparedUse, Times, Unit, Work};
+use crate::unit::{Done, NotRun, PreparedUse, Times, Unit, Work};
 
 impl SessionState {
     /// Runs a statement and gives its answer.
@@ -105,7 +106,12 @@
             Ok(unit) => unit,
             Err(denied) => return Answer::denied(denied),
         };
+        let leave = match self.take_leave(&unit, &work).await {
+            Ok(leave) => leave,
+            Err(answer) => return answer,
+        };
         let done = run_single(&unit, &work, effect).await;
+        self.settle_leave(leave, &done.answer);
         self.settle(&unit.group.name, done)
     }
 
@@ -114,11 +120,40 @@
             Ok(unit) => unit,
             Err(denied) => return Answer::denied(denied),
         };
+        let leave = match self.take_leave(&unit, &work).await {
+            Ok(leave) => leave,
+            Err(answer) => return answer,
+        };
         let (answer, transaction) = PlacedTransaction::begin(unit, &work, read_only).await;
+        self.settle_leave(leave, &answer);
         self.transaction = transaction;
         answer
     }
 
+    /// Takes the leave that an operation of a tenant with a bounded rate needs; gives the answer of
+    /// one that must not start.
+    async fn take_leave(&self, unit: &Unit, work: &Work) -> Result<Option<OperationLeave>, Answer> {
+        let Some(tenant) = &unit.caller.tenant else {
+            return Ok(None);
+        };
+        let in_force = self.context.in_force();
+        let Some(quota) = in_force.and_then(|known| known.quota(tenant)) else {
+            return Ok(None);
+        };
+        let until = unit.times.wait_until;
+        let taken = quota::take_leave(&self.context, tenant, quota, until).await;
+        let refuse = |refused: Refused| unit.refuse(&work.id, NotRun::from(refused));
+        taken.map(Some).map_err(refuse)
+    }
+
+    /// Gives a leave back if the operation has not run.
+    fn settle_leave(&self, leave: Option<OperationLeave>, answer: &Answer) {
+        let is_not_run = answer.error_class().is_some_and(ErrorClass::is_not_run);
+        if let Some(leave) = leave.filter(|_| is_not_run) {
+            quota::put_back(&self.context, leave);
+        }
+    }
+
     async fn commit(&mut self, work: Work) -> Answer {
         let Some(mut transaction) = self.transaction.take() else {
             return Answer::error(
--- a/crates/spurpier-pipeline/src/settings.rs
+++ b/crates/spurpier-pipeline/src/settings.rs
@@ -77,7 +77,7 @@
 }
 
 /// What the platform promises and asks for.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(default)]
 pub struct BoundSettings {
     /// How long a server that leaves may still be given work, in milliseconds.
@@ -86,6 +86,12 @@
     pub grace_ms: u64,
     /// Within what a new configuration must be in force everywhere, in milliseconds.
     pub configuration_apply_ms: u64,
+    /// The length of the spans in which a tenant's operations are judged, in seconds.
+    pub quota_window_s: f64,
+    /// The part by which a tenant's operations may exceed its limit in such a span.
+    pub quota_overage: f64,
+    /// Operations by which they may exceed it besides.
+    pub quota_slack: f64,
 }
 
 impl Default for BoundSettings {
@@ -94,6 +100,9 @@
             server_drain_ms: 7_000,
             grace_ms: 6_000,
             configuration_apply_ms: 3_000,
+            quota_window_s: 5.0,
+            quota_overage: 0.1,
+            quota_slack: 20.0,
         }
     }
 }
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -14,6 +14,7 @@
 mod write;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::seq::IteratorRandom;
 use spurpier_core::lead::{Distance, OwnCommit};
@@ -28,10 +29,11 @@
 
 use crate::context::Context;
 use crate::events;
-use crate::forward::CalledAnswer;
+use crate::forward::{CalledAnswer, millis};
 use crate::group::Group;
 use crate::homes::PeerNode;
 use crate::ports::{Answer, Effect, ErrorClass, FreshnessKind, Route, TransactionState};
+use crate::quota::Refused;
 use crate::server::{ConnectionNeed, Server, Values};
 use crate::tenant::Caller;
 
@@ -70,6 +72,10 @@
     NoServer,
     /// No home of the group can be reached.
     NoHome,
+    /// The tenant is at its limit for so long.
+    OverQuota(Duration),
+    /// No node that counts the tenant's operations has answered; one may within this time.
+    NoAuthority(Duration),
     /// A newer configuration gives the database to another group, or the key to another tenant.
     Rerouted,
 }
@@ -83,13 +89,16 @@
             NotRun::NoFreshServer => "no_fresh_server",
             NotRun::NoServer => "no_server",
             NotRun::NoHome => "no_home",
+            NotRun::OverQuota(_) => "over_quota",
+            NotRun::NoAuthority(_) => "no_quota_authority",
             NotRun::Rerouted => "rerouted",
         }
     }
 
     /// When a client should come back, in milliseconds.
-    const fn retry_after_ms(self) -> u32 {
+    fn retry_after_ms(self) -> u32 {
         match self {
+            NotRun::OverQuota(pause) | NotRun::NoAuthority(pause) => millis(pause),
             NotRun::NoLead | NotRun::NoServer | NotRun::NoHome | NotRun::Rerouted => 300,
             NotRun::NoFreshServer => 200,
             NotRun::NoConnection | NotRun::ServerBusy => 100,
@@ -97,6 +106,15 @@
     }
 }
 
+impl From<Refused> for NotRun {
+    fn from(refused: Refused) -> Self {
+        match refused {
+            Refused::OverQuota(pause) => NotRun::OverQuota(pause),
+            Refused::NoAuthority(pause) => NotRun::NoAuthority(pause),
+        }
+    }
+}
+
 /// A unit's answer and what it means for the session.
 #[derive(Debug)]
 pub struct Done {
--- a/crates/spurpier/src/settings/check.rs
+++ b/crates/spurpier/src/settings/check.rs
@@ -165,11 +165,11 @@
                 collector.error(span, message);
             }
         }
-        (Shape::Positive, DeValue::Integer(number)) => {
-            check_positive(collector, name, span, number.as_str());
+        (Shape::Positive | Shape::NotNegative, DeValue::Integer(number)) => {
+            check_number(collector, name, span, shape, number.as_str());
         }
-        (Shape::Positive, DeValue::Float(number)) => {
-            check_positive(collector, name, span, number.as_str());
+        (Shape::Positive | Shape::NotNegative, DeValue::Float(number)) => {
+            check_number(collector, name, span, shape, number.as_str());
         }
         (Shape::Boolean, DeValue::Boolean(_)) => {}
         (Shape::Text | Shape::Choice(_) | Shape::Address | Shape::Url, DeValue::String(text)) => {
@@ -185,16 +185,32 @@
     }
 }
 
-fn check_positive(collector: &mut Collector<'_>, name: &str, span: Range<usize>, number: &str) {
-    let digits = number.replace('_', "");
-    let holds = digits
-        .parse::<f64>()
-        .is_ok_and(|value| value.is_finite() && value > 0.0);
+fn check_number(
+    collector: &mut Collector<'_>,
+    name: &str,
+    span: Range<usize>,
+    shape: Shape,
+    number: &str,
+) {
+    let (holds, expected) = match shape {
+        Shape::NotNegative => (
+            number_holds(number, |value| value >= 0.0),
+            "be zero or above",
+        ),
+        _ => (number_holds(number, |value| value > 0.0), "be above zero"),
+    };
     if !holds {
-        collector.error(span, format!("`{name}` must be above zero, not {number}"));
+        collector.error(span, format!("`{name}` must {expected}, not {number}"));
     }
 }
 
+/// Whether a number's text is one that holds.
+fn number_holds(number: &str, holds: impl FnOnce(f64) -> bool) -> bool {
+    let digits = number.replace('_', "");
+    let value = digits.parse::<f64>();
+    value.is_ok_and(|value| value.is_finite() && holds(value))
+}
+
 fn check_tables<'value, 'text: 'value>(
     collector: &mut Collector<'_>,
     name: &str,
@@ -230,6 +246,7 @@
             format!("a whole number between {least} and {greatest}")
         }
         Shape::Positive => "a number above zero".to_owned(),
+        Shape::NotNegative => "a number that is not negative".to_owned(),
         Shape::Boolean => "`true` or `false`".to_owned(),
         Shape::Address => "an IP address with a port, as in 127.0.0.1:6432".to_owned(),
         Shape::Addresses => "a list of IP addresses with ports".to_owned(),
--- a/crates/spurpier/src/settings/gateway_schema.rs
+++ b/crates/spurpier/src/settings/gateway_schema.rs
@@ -104,6 +104,24 @@
         "3000",
         "Within what a new configuration must be in force everywhere, in milliseconds: bounds how long one wait for a new one lasts.",
     ),
+    key(
+        "quota_window_s",
+        Shape::Positive,
+        Absent::Default("5.0"),
+        "The length of the spans in which a tenant's operations are counted against its limit, in seconds.",
+    ),
+    key(
+        "quota_overage",
+        Shape::NotNegative,
+        Absent::Default("0.1"),
+        "The part by which a tenant may exceed its limit in such a span.",
+    ),
+    key(
+        "quota_slack",
+        Shape::NotNegative,
+        Absent::Default("20.0"),
+        "Operations by which a tenant may exceed its limit besides, in such a span.",
+    ),
 ];
 
 /// The settings file of `spurpier gateway`.
--- a/crates/spurpier/src/settings/schema.rs
+++ b/crates/spurpier/src/settings/schema.rs
@@ -26,6 +26,8 @@
     Integer(i64, i64),
     /// A number above zero, whole or with a fraction.
     Positive,
+    /// A number that is zero or above, whole or with a fraction.
+    NotNegative,
     /// Yes or no: `true` or `false`.
     Boolean,
     /// An IP address with a port, as in `127.0.0.1:6432`.
