--- a/crates/spurpier-pipeline/src/forward/caller.rs
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -7,7 +7,7 @@
 use super::messages::{
     Call, CallHead, CalledAnswer, CalledCaller, CalledSession, CalledWork, Reply, millis,
 };
-use crate::homes::{ChosenNodes, PeerNode};
+use crate::homes::{Home, PeerNode};
 use crate::ports::{Effect, ErrorClass};
 use crate::unit::{Done, NotRun, Unit, Work};
 
@@ -17,12 +17,11 @@
 /// Runs a statement outside a transaction where its group's connections are.
 pub async fn run_single(unit: &Unit, work: &Work, effect: Effect) -> Done {
     await_list(unit).await;
-    let homes = unit.context.homes_of(&unit.group.name);
-    if homes.is_own {
-        return run_at_home(unit, work, effect).await;
-    }
     let mut was_lost = false;
-    for home in usable(unit, &homes) {
+    for home in usable(unit) {
+        let Home::Peer(home) = home else {
+            return run_at_home(unit, work, effect).await;
+        };
         let Some(link) = connect(unit, &home).await else {
             continue;
         };
@@ -77,14 +76,19 @@
     unit.run_here(work, effect).await
 }
 
-/// The other homes that have not just failed to answer, in the order in which they are tried.
-pub(super) fn usable(unit: &Unit, homes: &ChosenNodes) -> Vec<PeerNode> {
-    let links = &unit.context.links;
-    let others = homes.others.iter();
-    others
-        .filter(|home| links.is_usable(home.address))
-        .cloned()
-        .collect()
+/// The homes that have not just failed to answer, in the order in which they are tried.
+pub(super) fn usable(unit: &Unit) -> Vec<Home> {
+    let context = &unit.context;
+    let homes = context.homes_of(&unit.group.name);
+    let mut homes = match &unit.caller.tenant {
+        Some(tenant) => homes.ranked_for(tenant, &context.settings.node.name),
+        None => homes.nearest_first(),
+    };
+    homes.retain(|home| match home {
+        Home::Own => true,
+        Home::Peer(peer) => context.links.is_usable(peer.address),
+    });
+    homes
 }
 
 pub(super) async fn connect(unit: &Unit, home: &PeerNode) -> Option<Arc<Link>> {
--- a/crates/spurpier-pipeline/src/forward/transaction.rs
+++ b/crates/spurpier-pipeline/src/forward/transaction.rs
@@ -5,7 +5,7 @@
 use super::caller::{UnitOutcome, await_list, call_within_time, connect, head, session, usable};
 use super::link::Link;
 use super::messages::{Call, CalledWork};
-use crate::homes::PeerNode;
+use crate::homes::{Home, PeerNode};
 use crate::ports::{Answer, Effect, ErrorClass, TransactionState};
 use crate::server::Values;
 use crate::unit::{Done, NotRun, OpenTransaction, Times, Unit, Work};
@@ -23,11 +23,10 @@
     /// transaction if it is open.
     pub async fn begin(unit: Unit, work: &Work, read_only: bool) -> (Answer, Option<Self>) {
         await_list(&unit).await;
-        let homes = unit.context.homes_of(&unit.group.name);
-        if homes.is_own {
-            return Self::begin_at_home(unit, work, read_only, true).await;
-        }
-        for home in usable(&unit, &homes) {
+        for home in usable(&unit) {
+            let Home::Peer(home) = home else {
+                return Self::begin_at_home(unit, work, read_only, true).await;
+            };
             match begin_there(&unit, work, read_only, &home, false).await {
                 Begun::Open(link, number, answer) => {
                     return opened(unit, link, number, home, answer);
--- a/crates/spurpier-pipeline/src/homes/chosen.rs
+++ b/crates/spurpier-pipeline/src/homes/chosen.rs
@@ -1,9 +1,12 @@
 //! Choosing nodes of each zone, as homes of a group or as watchers, and how far they are.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use spurpier_core::homes::{rendezvous_score, subject_digest};
 use spurpier_core::lead::{Distance, RankedNode, rank_homes};
+use spurpier_core::membership::NodeKey;
 
 use crate::node_entry::NodeEntry;
 use crate::settings::PipelineSettings;
@@ -48,7 +51,39 @@
     pub others: Vec<PeerNode>,
 }
 
+/// One of the homes of a group, as a node sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Home {
+    /// This node.
+    Own,
+    /// Another one.
+    Peer(PeerNode),
+}
+
 impl ChosenNodes {
+    /// All of them, in the order in which this node asks them: itself, then the nearest first.
+    pub fn nearest_first(&self) -> Vec<Home> {
+        let own = self.is_own.then_some(Home::Own);
+        let others = self.others.iter().cloned().map(Home::Peer);
+        own.into_iter().chain(others).collect()
+    }
+
+    /// All of them, in the order in which this node asks them for a tenant: those of its region
+    /// in the tenant's own order, so that one of them holds the connections for it.
+    pub fn ranked_for(&self, tenant: &str, own_name: &str) -> Vec<Home> {
+        let mut homes = self.nearest_first();
+        let near = self.near + usize::from(self.is_own);
+        let digest = subject_digest(tenant);
+        homes[..near].sort_by_key(|home| {
+            let name = match home {
+                Home::Own => own_name,
+                Home::Peer(peer) => peer.name.as_str(),
+            };
+            Reverse(rendezvous_score(digest, NodeKey(subject_digest(name))))
+        });
+        homes
+    }
+
     /// Before the list of nodes has been read: this node does everything itself.
     pub fn unknown() -> Self {
         ChosenNodes {
--- a/crates/spurpier-pipeline/src/homes/mod.rs
+++ b/crates/spurpier-pipeline/src/homes/mod.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
-pub use self::chosen::{ChosenNodes, PeerNode};
+pub use self::chosen::{ChosenNodes, Home, PeerNode};
 use self::chosen::{OwnPlace, Preference, peer_node};
 use crate::node_entry::{ListedNode, NodeEntry};
 use crate::settings::PipelineSettings;
--- a/crates/spurpier/tests/gateway_settings.rs
+++ b/crates/spurpier/tests/gateway_settings.rs
@@ -33,7 +33,14 @@
         ("bounds.grace-s", "6"),
         ("first-start", "true"),
         ("bounds.configuration-apply-ms", "3000"),
+        ("bounds.quota-window-s", "5"),
+        ("bounds.quota-overage", "0.1"),
+        ("bounds.quota-slack", "20"),
     ] {
+        // What is there only if the value is given.
+        for mark in ['#', '/'] {
+            text = text.replace(&format!("{{{{{mark}{gap}}}}}"), "");
+        }
         let gap = format!("{{{{{gap}}}}}");
         assert!(text.contains(&gap), "{gap} stands in the template");
         text = text.replace(&gap, value);
