--- a/crates/spurpier-pipeline/src/configuration/mod.rs
+++ b/crates/spurpier-pipeline/src/configuration/mod.rs
@@ -84,6 +84,11 @@
         Some(TenantQuota { quota, version })
     }
 
+    /// Whether clients are told apart by the tenants that hold their keys.
+    pub fn has_tenants(&self) -> bool {
+        self.holders.is_some()
+    }
+
     /// Whether the operations of any tenant are bounded.
     pub fn has_quotas(&self) -> bool {
         !self.quotas.is_empty()
--- a/crates/spurpier-pipeline/src/directory.rs
+++ b/crates/spurpier-pipeline/src/directory.rs
@@ -59,7 +59,7 @@
             instance: entry.instance.clone(),
         };
         let dialect = Arc::clone(&context.server_dialect);
-        let limit = connection_share(context, &group.name);
+        let limit = connection_share(context, &group.name, &entry.zone);
         let pool = Pool::new(target, dialect, context.clock.clone(), limit);
         let distance = context.distance(&entry.zone);
         let leaving_since = entry.draining.then(|| context.clock.now());
@@ -205,17 +205,36 @@
 /// How long a server may keep the connections of a process that ended without a word.
 const FORMER_CONNECTIONS: Duration = Duration::from_millis(3_300);
 
+/// How many parts of a server's connections a home in its region takes for each part of another.
+const NEAR_PARTS: usize = 4;
+
 /// This node's share of the connections to each server of a group.
 ///
 /// The homes of the group share them; a node that is none may open one, for questions to servers.
 /// A node that has just started takes two thirds of its share: if the machines lost power, the
 /// servers still hold the connections from before.
-fn connection_share(context: &Context, group: &str) -> usize {
+///
+/// Connections that belong to tenants are worth most at the homes of the server's region, where
+/// its reads come from: these take three times the share of the others.
+fn connection_share(context: &Context, group: &str, server_zone: &str) -> usize {
     let homes = context.homes_of(group);
     if !homes.is_own {
         return 1;
     }
-    let share = context.usable_connections(group) / homes.count.max(1);
+    let usable = context.usable_connections(group);
+    let has_tenants = context.in_force().is_some_and(|known| known.has_tenants());
+    let share = if has_tenants {
+        let near = context.homes.count_near(&homes, server_zone);
+        let parts = near * NEAR_PARTS + (homes.count - near.min(homes.count));
+        let own = if context.homes.is_own_region(server_zone) {
+            NEAR_PARTS
+        } else {
+            1
+        };
+        usable * own / parts.max(1)
+    } else {
+        usable / homes.count.max(1)
+    };
     let share = if context.clock.runs_for() < FORMER_CONNECTIONS {
         share * 2 / 3
     } else {
@@ -250,8 +269,9 @@
 /// Gives each pool this node's share anew.
 pub fn share_connections(context: &Context) {
     for group in context.all_groups() {
-        let share = connection_share(context, &group.name);
         for server in group.servers() {
+            let zone = server.listing().entry.zone.clone();
+            let share = connection_share(context, &group.name, &zone);
             server.pool.set_limit(share);
         }
     }
--- a/crates/spurpier-pipeline/src/forward/caller.rs
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -18,7 +18,7 @@
 pub async fn run_single(unit: &Unit, work: &Work, effect: Effect) -> Done {
     await_list(unit).await;
     let mut was_lost = false;
-    for home in usable(unit) {
+    for home in usable(unit, unit.needs_lead(effect)) {
         let Home::Peer(home) = home else {
             return run_at_home(unit, work, effect).await;
         };
@@ -77,11 +77,15 @@
 }
 
 /// The homes that have not just failed to answer, in the order in which they are tried.
-pub(super) fn usable(unit: &Unit) -> Vec<Home> {
+pub(super) fn usable(unit: &Unit, needs_lead: bool) -> Vec<Home> {
     let context = &unit.context;
     let homes = context.homes_of(&unit.group.name);
     let mut homes = match &unit.caller.tenant {
-        Some(tenant) => homes.ranked_for(tenant, &context.settings.node.name),
+        Some(tenant) => {
+            let zone = needs_lead.then(|| unit.lead_zone()).flatten();
+            let zone = zone.unwrap_or_else(|| context.settings.node.zone.clone());
+            context.homes.ranked_for(&homes, tenant, &zone)
+        }
         None => homes.nearest_first(),
     };
     homes.retain(|home| match home {
--- a/crates/spurpier-pipeline/src/forward/transaction.rs
+++ b/crates/spurpier-pipeline/src/forward/transaction.rs
@@ -23,7 +23,8 @@
     /// transaction if it is open.
     pub async fn begin(unit: Unit, work: &Work, read_only: bool) -> (Answer, Option<Self>) {
         await_list(&unit).await;
-        for home in usable(&unit) {
+        let effect = opening_effect(read_only);
+        for home in usable(&unit, unit.needs_lead(effect)) {
             let Home::Peer(home) = home else {
                 return Self::begin_at_home(unit, work, read_only, true).await;
             };
@@ -50,11 +51,7 @@
         read_only: bool,
         may_relay: bool,
     ) -> (Answer, Option<Self>) {
-        let effect = if read_only {
-            Effect::Read
-        } else {
-            Effect::Write
-        };
+        let effect = opening_effect(read_only);
         if may_relay && let Some(relay) = unit.better_home(effect) {
             match begin_there(&unit, work, read_only, &relay, true).await {
                 Begun::Open(link, number, answer) => {
@@ -125,6 +122,15 @@
     }
 }
 
+/// What a transaction that only reads, or may write, is to the choice of its place.
+const fn opening_effect(read_only: bool) -> Effect {
+    if read_only {
+        Effect::Read
+    } else {
+        Effect::Write
+    }
+}
+
 /// How the opening at another node ended.
 enum Begun {
     /// It stands open under this number.
--- a/crates/spurpier-pipeline/src/homes/chosen.rs
+++ b/crates/spurpier-pipeline/src/homes/chosen.rs
@@ -68,18 +68,26 @@
         own.into_iter().chain(others).collect()
     }
 
-    /// All of them, in the order in which this node asks them for a tenant: those of its region
-    /// in the tenant's own order, so that one of them holds the connections for it.
-    pub fn ranked_for(&self, tenant: &str, own_name: &str) -> Vec<Home> {
+    /// All of them, in the order in which this node asks them for a tenant: those that `is_near`
+    /// tells from their zones in the tenant's own order, so that one of them holds the connections
+    /// for it, and then the others, the nearest first.
+    pub fn ranked_for(
+        &self,
+        tenant: &str,
+        own: (&str, &str),
+        is_near: impl Fn(&str) -> bool,
+    ) -> Vec<Home> {
+        let (own_name, own_zone) = own;
         let mut homes = self.nearest_first();
-        let near = self.near + usize::from(self.is_own);
         let digest = subject_digest(tenant);
-        homes[..near].sort_by_key(|home| {
-            let name = match home {
-                Home::Own => own_name,
-                Home::Peer(peer) => peer.name.as_str(),
+        // Stable: those that are not near stay in their order.
+        homes.sort_by_cached_key(|home| {
+            let (name, zone) = match home {
+                Home::Own => (own_name, own_zone),
+                Home::Peer(peer) => (peer.name.as_str(), peer.zone.as_str()),
             };
-            Reverse(rendezvous_score(digest, NodeKey(subject_digest(name))))
+            let rank = rendezvous_score(digest, NodeKey(subject_digest(name)));
+            is_near(zone).then_some(Reverse(rank)).ok_or(())
         });
         homes
     }
@@ -172,6 +180,11 @@
             .collect()
     }
 
+    /// Whether two zones lie in the same region.
+    pub fn is_same_region(&self, zone: &str, other: &str) -> bool {
+        zone == other || self.regions.get(zone) == self.regions.get(other)
+    }
+
     /// How far a zone is.
     pub fn distance(&self, zone: &str) -> Distance {
         if zone == self.zone {
--- a/crates/spurpier-pipeline/src/homes/mod.rs
+++ b/crates/spurpier-pipeline/src/homes/mod.rs
@@ -323,6 +323,25 @@
         authorities
     }
 
+    /// The homes of a group in the order in which this node asks them for a tenant: first those in
+    /// the region of a zone.
+    pub fn ranked_for(&self, homes: &ChosenNodes, tenant: &str, zone: &str) -> Vec<Home> {
+        let own = (self.own_name.as_str(), self.own.zone.as_str());
+        homes.ranked_for(tenant, own, |other| self.place.is_same_region(other, zone))
+    }
+
+    /// Whether a zone lies in this node's region.
+    pub fn is_own_region(&self, zone: &str) -> bool {
+        self.place.distance(zone) != Distance::Remote
+    }
+
+    /// How many homes stand in the region of a zone.
+    pub fn count_near(&self, homes: &ChosenNodes, zone: &str) -> usize {
+        let others = homes.others.iter();
+        let near = others.filter(|home| self.place.is_same_region(&home.zone, zone));
+        near.count() + usize::from(homes.is_own && self.is_own_region(zone))
+    }
+
     /// How many nodes are listed; one before any is known.
     pub fn listed_count(&self) -> usize {
         let inner = self.lock();
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -148,6 +148,16 @@
         effect == Effect::Write || self.is_latest()
     }
 
+    /// The zone of the server that leads the group, as far as is known.
+    pub fn lead_zone(&self) -> Option<String> {
+        let context = &self.context;
+        let lead = self
+            .group
+            .lead_candidate(context.clock.now(), context.leaving_use())?;
+        let zone = lead.listing().entry.zone.clone();
+        Some(zone)
+    }
+
     /// The home that runs such a statement in the place of this one: one that is known to reach
     /// the lead if this one does not, or while units wait here for connections to the server that
     /// would run it, one in that server's zone or nearby.
