Decode regions, cold servers and what may be lost, and carry a unit's allowed regions with it

Two customers bring regions in which work may run, evacuated zones and cold servers; none of it was read. Servers outside a unit's regions are passed over by reads, and a lead there refuses at once.

--- a/crates/spurpier-core/src/lead/failover.rs
+++ b/crates/spurpier-core/src/lead/failover.rs
@@ -86,8 +86,11 @@
 pub struct Candidate {
     /// The last position that it has received; none if it did not tell.
     pub received: Option<Position>,
-    /// Whether it stays.
+    /// Whether it stays, and may lead where it stands.
     pub staying: bool,
+    /// How well its place fits as the primary's; the greater one goes first among those that
+    /// received as much.
+    pub fit: u64,
 }
 
 /// The replica that takes over: of those that stay, the one that received most.
@@ -98,7 +101,7 @@
 pub fn choose_successor(candidates: &[Candidate], synchronous_replicas: usize) -> Option<usize> {
     let staying = candidates.iter().enumerate();
     let staying = staying.filter(|(_, candidate)| candidate.staying);
-    let (index, best) = staying.max_by_key(|(_, candidate)| candidate.received)?;
+    let (index, best) = staying.max_by_key(|(_, candidate)| (candidate.received, candidate.fit))?;
     if synchronous_replicas == 0 {
         return Some(index);
     }
--- a/crates/spurpier-core/src/lib.rs
+++ b/crates/spurpier-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod identity;
 pub mod lead;
 pub mod membership;
+pub mod places;
 pub mod policy;
 pub mod pool;
 pub mod position;
--- a/crates/spurpier-core/tests/lead.rs
+++ b/crates/spurpier-core/tests/lead.rs
@@ -258,6 +258,7 @@
     Candidate {
         received: offset.map(|offset| Position::new(1, offset)),
         staying,
+        fit: 0,
     }
 }
 
--- a/crates/spurpier-pipeline/src/configuration/mod.rs
+++ b/crates/spurpier-pipeline/src/configuration/mod.rs
@@ -6,26 +6,46 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use spurpier_core::places::AllowedRegions;
 use spurpier_events::log_event;
 
 use self::check::TenantFinding;
+pub use self::rows::{allowed_regions, region_names};
 use crate::context::Context;
 use crate::directory::share_connections;
 use crate::events;
 use crate::follow::RowSink;
-use crate::ports::{Configuration, KeyDigest, Quota, Route, Row, Table, Tenant};
+use crate::ports::{Configuration, GroupSettings, KeyDigest, Quota, Route, Row, Table, Tenant};
 use crate::quota::TenantQuota;
 use crate::tenant::{Caller, Denied};
 
+/// How a client's statements are served.
+#[derive(Debug, Clone)]
+pub struct Admitted {
+    /// The route of its database.
+    pub route: Arc<Route>,
+    /// Whom its statements are run for.
+    pub caller: Caller,
+    /// Where they may run: where both the route and the tenant allow it.
+    pub allowed_regions: AllowedRegions,
+}
+
+/// What holds for a tenant.
+#[derive(Debug)]
+struct KnownTenant {
+    name: Arc<str>,
+    allowed_regions: AllowedRegions,
+}
+
 /// A configuration, indexed.
 #[derive(Debug)]
 pub struct InForce {
     /// The configuration.
     pub configuration: Configuration,
     routes: HashMap<String, Arc<Route>>,
-    connections: HashMap<String, usize>,
+    groups: HashMap<String, GroupSettings>,
     /// The holders of keys; none if clients are not told apart.
-    holders: Option<HashMap<KeyDigest, Arc<str>>>,
+    holders: Option<HashMap<KeyDigest, Arc<KnownTenant>>>,
     /// How much tenants may ask for, by their names.
     quotas: HashMap<String, Quota>,
 }
@@ -39,13 +59,13 @@
             entry.or_insert_with(|| Arc::new(route.clone()));
         }
         let groups = configuration.groups.iter();
-        let connections = groups.map(|group| (group.name.clone(), group.connections));
+        let groups = groups.map(|group| (group.name.clone(), group.clone()));
         let tenants = configuration.tenants.iter().flatten();
         let quotas = tenants.filter_map(|tenant| Some((tenant.name.clone(), tenant.quota?)));
         let quotas = quotas.collect();
         let holders = configuration.tenants.as_deref().map(key_holders);
         InForce {
-            connections: connections.collect(),
+            groups: groups.collect(),
             holders,
             quotas,
             routes,
@@ -58,23 +78,28 @@
         self.routes.get(database).map(Arc::clone)
     }
 
-    /// The route of a database and whom a client's statements are run for.
+    /// How a client's statements in a database are served.
     ///
     /// # Errors
     ///
     /// [`Denied`] if the client is not served there.
-    pub fn admit(
-        &self,
-        database: &str,
-        key: Option<KeyDigest>,
-    ) -> Result<(Arc<Route>, Caller), Denied> {
+    pub fn admit(&self, database: &str, key: Option<KeyDigest>) -> Result<Admitted, Denied> {
         let route = self.route(database).ok_or(Denied::UnknownDatabase)?;
         let Some(holders) = self.holders.as_ref().filter(|_| !route.is_public) else {
-            return Ok((route, Caller::unnamed(key)));
+            return Ok(Admitted {
+                allowed_regions: route.allowed_regions.clone(),
+                caller: Caller::unnamed(key),
+                route,
+            });
         };
         let holder = key.and_then(|key| holders.get(&key));
-        let tenant = Some(Arc::clone(holder.ok_or(Denied::UnknownKey)?));
-        Ok((route, Caller { tenant, key }))
+        let holder = holder.ok_or(Denied::UnknownKey)?;
+        let tenant = Some(Arc::clone(&holder.name));
+        Ok(Admitted {
+            allowed_regions: route.allowed_regions.and(&holder.allowed_regions),
+            caller: Caller { tenant, key },
+            route,
+        })
     }
 
     /// How much a tenant may ask for; none if that is not bounded.
@@ -96,16 +121,19 @@
 
     /// The connections that each server of a group takes; none if the group is not known.
     pub fn connections(&self, group: &str) -> Option<usize> {
-        self.connections.get(group).copied()
+        self.groups.get(group).map(|group| group.connections)
     }
 }
 
-fn key_holders(tenants: &[Tenant]) -> HashMap<KeyDigest, Arc<str>> {
+fn key_holders(tenants: &[Tenant]) -> HashMap<KeyDigest, Arc<KnownTenant>> {
     let mut holders = HashMap::new();
     for tenant in tenants {
-        let name: Arc<str> = Arc::from(tenant.name.as_str());
+        let holder = Arc::new(KnownTenant {
+            name: Arc::from(tenant.name.as_str()),
+            allowed_regions: tenant.allowed_regions.clone(),
+        });
         let keys = tenant.keys.iter();
-        holders.extend(keys.map(|key| (*key, Arc::clone(&name))));
+        holders.extend(keys.map(|key| (*key, Arc::clone(&holder))));
     }
     holders
 }
--- a/crates/spurpier-pipeline/src/configuration/rows.rs
+++ b/crates/spurpier-pipeline/src/configuration/rows.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use nanoserde::{DeBin, SerBin};
+use spurpier_core::places::AllowedRegions;
 use spurpier_core::wire::{List, LongText};
 
 use crate::follow::note_news;
@@ -27,12 +28,14 @@
     timeout_ms: u32,
     target_ms: u32,
     is_public: bool,
+    allowed_regions: Option<List<LongText>>,
 }
 
 #[derive(Debug, SerBin, DeBin)]
 struct TenantRow {
     keys: List<KeyDigest>,
     quota: Option<Quota>,
+    allowed_regions: Option<List<LongText>>,
 }
 
 #[derive(Debug, SerBin, DeBin)]
@@ -49,6 +52,7 @@
     name: LongText,
     connections: u32,
     synchronous_replicas: u32,
+    cold_per_second: Option<f64>,
 }
 
 /// The rows of a configuration that the store wrote at `version`. A row that is `known` keeps the
@@ -84,6 +88,7 @@
         timeout_ms: millis(route.timeout),
         target_ms: millis(route.target),
         is_public: route.is_public,
+        allowed_regions: region_names(&route.allowed_regions),
     };
     row(format!("{ROUTE_PREFIX}{}", route.database), &value)
 }
@@ -92,6 +97,7 @@
     let value = TenantRow {
         keys: List(tenant.keys.clone()),
         quota: tenant.quota,
+        allowed_regions: region_names(&tenant.allowed_regions),
     };
     row(format!("{TENANT_PREFIX}{}", tenant.name), &value)
 }
@@ -112,6 +118,7 @@
         name: LongText(group.name.clone()),
         connections: count(group.connections),
         synchronous_replicas: count(group.synchronous_replicas),
+        cold_per_second: group.cold_per_second,
     }
 }
 
@@ -153,6 +160,7 @@
         timeout: duration(value.timeout_ms),
         target: duration(value.target_ms),
         is_public: value.is_public,
+        allowed_regions: allowed_regions(value.allowed_regions),
     })
 }
 
@@ -163,6 +171,7 @@
         name: name.to_owned(),
         keys: value.keys.0,
         quota: value.quota,
+        allowed_regions: allowed_regions(value.allowed_regions),
     })
 }
 
@@ -171,5 +180,19 @@
         name: group.name.0,
         connections: group.connections as usize,
         synchronous_replicas: group.synchronous_replicas as usize,
+        cold_per_second: group.cold_per_second,
     }
 }
+
+/// Allowed regions as messages carry them.
+pub fn region_names(allowed: &AllowedRegions) -> Option<List<LongText>> {
+    let names = allowed.names()?;
+    Some(List(names.iter().cloned().map(LongText).collect()))
+}
+
+/// Allowed regions that a message carries.
+pub fn allowed_regions(names: Option<List<LongText>>) -> AllowedRegions {
+    names.map_or(AllowedRegions::ANYWHERE, |names| {
+        AllowedRegions::only(names.0.into_iter().map(|name| name.0))
+    })
+}
--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -22,6 +22,7 @@
 use crate::known_tables::KnownTables;
 use crate::log_budget::LogBudget;
 use crate::metrics::Metrics;
+use crate::places::Places;
 use crate::ports::{
     ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
 };
@@ -62,6 +63,8 @@
     pub groups: Mutex<BTreeMap<String, Arc<Group>>>,
     /// The other nodes, and which nodes are the homes of each group.
     pub homes: Homes,
+    /// Where units may run.
+    pub places: Places,
     /// Leave to start tenants' operations.
     pub quotas: Quotas,
     /// The connections to other nodes that take forwarded units.
--- a/crates/spurpier-pipeline/src/duty/successor.rs
+++ b/crates/spurpier-pipeline/src/duty/successor.rs
@@ -86,15 +86,18 @@
     futures::future::join_all(questions).await
 }
 
-fn choose(told: &[Told], synchronous_replicas: usize) -> Option<Arc<Server>> {
+fn choose(context: &Context, group: &Group, told: &[Told]) -> Option<Arc<Server>> {
+    let now = context.clock.now();
+    let places = &context.places;
     let candidates: Vec<Candidate> = told
         .iter()
         .map(|told| Candidate {
             received: told.status.as_ref().map(|status| status.received),
-            staying: told.server.is_staying(),
+            staying: told.server.is_staying() && places.may_succeed(&told.server, now),
+            fit: places.fit(group, &told.server, now),
         })
         .collect();
-    let chosen = choose_successor(&candidates, synchronous_replicas)?;
+    let chosen = choose_successor(&candidates, group.synchronous_replicas())?;
     // A server that tells nothing may not even run.
     told[chosen].status.as_ref()?;
     Some(Arc::clone(&told[chosen].server))
@@ -114,7 +117,7 @@
     let leading = leading.max_by_key(|told| told.term());
     match leading.filter(|leading| leading.term() == newest_term(&told)) {
         Some(leading) => Some(Arc::clone(&leading.server)),
-        None => choose(&told, group.synchronous_replicas()),
+        None => choose(context, group, &told),
     }
 }
 
@@ -127,14 +130,13 @@
     former: Option<&Server>,
     successor: &Server,
 ) -> bool {
-    let synchronous = group.synchronous_replicas();
-    if synchronous == 0 {
+    if group.synchronous_replicas() == 0 {
         return true;
     }
     let told = ask_replicas(context, group, former, ServerRequest::Status).await;
     let term = newest_term(&told) + 1;
     let told = ask_replicas(context, group, former, ServerRequest::Pause { term }).await;
-    let chosen = choose(&told, synchronous);
+    let chosen = choose(context, group, &told);
     let holds_all = chosen.is_some_and(|chosen| {
         let received = |name: &str| {
             let mut told = told.iter();
@@ -168,7 +170,7 @@
     former: &Arc<Server>,
 ) -> Option<Arc<Server>> {
     let told = ask_replicas(context, group, Some(former), ServerRequest::Status).await;
-    let heir = choose(&told, group.synchronous_replicas())?;
+    let heir = choose(context, group, &told)?;
     let status = ask(context, former, ServerRequest::Status).await;
     let is_replica = status.is_some_and(|status| status.role == ServerRole::Replica);
     (!is_replica).then_some(heir)
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -68,7 +68,8 @@
     let Some(lead) = group.lead() else {
         return !group.servers().is_empty() && *context.directory_known.borrow();
     };
-    if !lead.is_staying() {
+    let now = context.clock.now();
+    if context.places.reason_to_move(group, &lead, now).is_some() {
         return true;
     }
     lead.health().silences > 0
@@ -156,10 +157,7 @@
         let lead = self.group.lead();
         if proven.is_ok() {
             self.missing_since = None;
-            return match lead {
-                Some(lead) if !lead.is_staying() => Need::HandOver(lead),
-                _ => Need::Nothing,
-            };
+            return lead.map_or(Need::Nothing, |lead| self.need_of_serving(lead));
         }
         if self.group.servers().is_empty() {
             return Need::Nothing;
@@ -202,6 +200,16 @@
         Need::Replacement(claimant)
     }
 
+    /// What the group of a primary that serves needs.
+    fn need_of_serving(&self, lead: Arc<Server>) -> Need {
+        let now = self.context.clock.now();
+        let places = &self.context.places;
+        match places.reason_to_move(&self.group, &lead, now) {
+            Some(_) => Need::HandOver(lead),
+            None => Need::Nothing,
+        }
+    }
+
     /// The server that leads, or that says so, as far as is known.
     fn claimant(&self) -> Option<Arc<Server>> {
         self.group.lead().or_else(|| {
--- a/crates/spurpier-pipeline/src/forward/caller.rs
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -7,6 +7,7 @@
 use super::messages::{
     Call, CallHead, CalledAnswer, CalledCaller, CalledSession, CalledWork, Reply, millis,
 };
+use crate::configuration::region_names;
 use crate::homes::{Home, PeerNode};
 use crate::ports::{Effect, ErrorClass};
 use crate::unit::{Done, NotRun, Unit, Work};
@@ -121,6 +122,7 @@
         timeout_ms: millis(route.timeout),
         target_ms: millis(route.target),
         caller: CalledCaller::from(&unit.caller),
+        allowed_regions: region_names(&unit.allowed_regions),
         configuration: unit.configuration,
         own_commit: unit.own_commit.map(|commit| commit.position),
         session: session(unit),
--- a/crates/spurpier-pipeline/src/forward/messages.rs
+++ b/crates/spurpier-pipeline/src/forward/messages.rs
@@ -22,7 +22,7 @@
 use crate::unit::{PreparedUse, Work};
 
 /// The version of the messages; nodes of different versions do not forward to each other.
-pub const VERSION: u16 = 5;
+pub const VERSION: u16 = 6;
 
 /// A message between a caller and the node that runs its calls.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
@@ -124,6 +124,8 @@
     pub target_ms: u32,
     /// Whom it is run for.
     pub caller: CalledCaller,
+    /// Where it may run; none if anywhere.
+    pub allowed_regions: Option<List<LongText>>,
     /// The version of the configuration that has the route and the caller's key.
     pub configuration: u64,
     /// The position of the session's last commit in the group.
--- a/crates/spurpier-pipeline/src/forward/server.rs
+++ b/crates/spurpier-pipeline/src/forward/server.rs
@@ -18,6 +18,7 @@
 };
 use super::stream::{MessageReader, prepare_socket, write_messages};
 use super::transaction::PlacedTransaction;
+use crate::configuration::allowed_regions;
 use crate::context::Context;
 use crate::known_tables::News;
 use crate::ports::{Answer, Effect, ErrorClass, Route, TransactionState};
@@ -352,6 +353,8 @@
         }
         let group = context.known_group(&head.group)?;
         let now = context.clock.now();
+        // That of route and tenant together.
+        let allowed_regions = allowed_regions(head.allowed_regions);
         let route = Arc::new(Route {
             database: head.database,
             group: head.group,
@@ -359,6 +362,7 @@
             timeout: duration(head.timeout_ms),
             target: duration(head.target_ms),
             is_public: head.caller.is_unnamed(),
+            allowed_regions: allowed_regions.clone(),
         });
         // The acknowledgement came before the call; any later moment asks for more.
         let own_commit = head.own_commit.map(|position| OwnCommit {
@@ -369,6 +373,7 @@
             context: Arc::clone(context),
             group,
             caller: Caller::from(head.caller),
+            allowed_regions,
             values: head.session.session_values(),
             own_commit,
             times: Times::of_waited(&route, &context.clock, duration(head.session.waited_ms)),
--- a/crates/spurpier-pipeline/src/lib.rs
+++ b/crates/spurpier-pipeline/src/lib.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod node;
 mod node_entry;
+mod places;
 pub mod ports;
 pub mod progress;
 mod quota;
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -29,6 +29,7 @@
 use crate::log_budget::LogBudget;
 use crate::membership::{ClusterSink, keep_listed, list_leaving, unlist_lost, unlist_self};
 use crate::metrics::Metrics;
+use crate::places::Places;
 use crate::ports::{
     ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
 };
@@ -177,6 +178,7 @@
         let context = Context {
             retry_budget: Mutex::new(RetryBudget::new(RETRY_BUDGET, clock.now())),
             homes: Homes::new(&parts.settings),
+            places: Places::new(&parts.settings),
             quotas: Quotas::new(&parts.settings.bounds),
             settings: parts.settings,
             clock,
--- a/crates/spurpier-pipeline/src/ports/configuration.rs
+++ b/crates/spurpier-pipeline/src/ports/configuration.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use spurpier_core::places::AllowedRegions;
+
 use super::tenant::Tenant;
 
 /// How fresh a route's reads must be.
@@ -40,10 +42,12 @@
     pub target: Duration,
     /// Whether it serves clients without a key.
     pub is_public: bool,
+    /// Where its statements may run.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// What holds for one group.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct GroupSettings {
     /// The group.
     pub name: String,
@@ -51,6 +55,9 @@
     pub connections: usize,
     /// Replicas that must have received a commit before it is acknowledged.
     pub synchronous_replicas: usize,
+    /// Requests that one of its servers takes each second, from all nodes together, while it is
+    /// cold; none if that is not bounded.
+    pub cold_per_second: Option<f64>,
 }
 
 /// One version of the configuration.
--- a/crates/spurpier-pipeline/src/ports/directory.rs
+++ b/crates/spurpier-pipeline/src/ports/directory.rs
@@ -1,6 +1,7 @@
 //! Servers as the platform lists them and as they tell of themselves.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use spurpier_core::position::Position;
 
@@ -33,6 +34,8 @@
     pub draining: bool,
     /// Its role.
     pub role: ServerRole,
+    /// For how long it stays cold, counted from its start; zero if it is warm.
+    pub cold_for: Duration,
 }
 
 /// What a server answers when asked for its status.
--- a/crates/spurpier-pipeline/src/ports/tenant.rs
+++ b/crates/spurpier-pipeline/src/ports/tenant.rs
@@ -4,6 +4,7 @@
 
 use nanoserde::{DeBin, SerBin};
 use sha2::{Digest, Sha256};
+use spurpier_core::places::AllowedRegions;
 
 /// Bytes of a key's digest: two keys of one deployment do not share one by chance or by search.
 const DIGEST_BYTES: usize = 16;
@@ -47,4 +48,6 @@
     pub keys: Vec<KeyDigest>,
     /// How much it may ask for; none if that is not bounded.
     pub quota: Option<Quota>,
+    /// Where its statements may run.
+    pub allowed_regions: AllowedRegions,
 }
--- a/crates/spurpier-pipeline/src/session/statements.rs
+++ b/crates/spurpier-pipeline/src/session/statements.rs
@@ -178,13 +178,15 @@
     /// may have been dropped and a key taken away since the session was opened.
     fn unit(&self) -> Result<Unit, Denied> {
         let in_force = self.context.in_force().ok_or(Denied::UnknownDatabase)?;
-        let (route, caller) = in_force.admit(&self.client.database, self.client.key)?;
+        let admitted = in_force.admit(&self.client.database, self.client.key)?;
+        let route = admitted.route;
         let own_commit = self.own_commit.as_ref();
         let own_commit = own_commit.filter(|(group, _)| *group == route.group);
         Ok(Unit {
             context: Arc::clone(&self.context),
             group: self.context.group(&route.group),
-            caller,
+            caller: admitted.caller,
+            allowed_regions: admitted.allowed_regions,
             values: self.values.clone(),
             own_commit: own_commit.map(|(_, commit)| *commit),
             times: Times::of(&route, &self.context.clock),
--- a/crates/spurpier-pipeline/src/settings.rs
+++ b/crates/spurpier-pipeline/src/settings.rs
@@ -23,6 +23,9 @@
     /// What the platform promises and asks for.
     #[serde(default)]
     pub bounds: BoundSettings,
+    /// What may be lost at once.
+    #[serde(default)]
+    pub tolerance: ToleranceSettings,
 }
 
 /// The node.
@@ -92,6 +95,22 @@
     pub quota_overage: f64,
     /// Operations by which they may exceed it besides.
     pub quota_slack: f64,
+    /// Within what nothing more may arrive at the servers of an evacuated zone, in milliseconds.
+    pub evacuation_ms: u64,
+    /// The factor by which requests at a cold server may exceed its rate within a second.
+    pub cold_overage: f64,
+    /// Requests by which they may exceed it besides.
+    pub cold_slack: f64,
+}
+
+/// What may be lost at once with everything still kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(default)]
+pub struct ToleranceSettings {
+    /// Whole zones.
+    pub zones: u32,
+    /// Whole regions.
+    pub regions: u32,
 }
 
 impl Default for BoundSettings {
@@ -103,6 +122,9 @@
             quota_window_s: 5.0,
             quota_overage: 0.1,
             quota_slack: 20.0,
+            evacuation_ms: 5_000,
+            cold_overage: 1.0,
+            cold_slack: 0.0,
         }
     }
 }
--- a/crates/spurpier-pipeline/src/unit/lead.rs
+++ b/crates/spurpier-pipeline/src/unit/lead.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use spurpier_core::places::AllowedRegions;
 use spurpier_core::position::Position;
 use spurpier_core::time::Timestamp;
 
@@ -28,11 +29,13 @@
     pub position: Position,
 }
 
-/// Takes a connection to the server that is most likely to lead, at most until `until`.
+/// Takes a connection to the server that is most likely to lead, at most until `until`; at once
+/// none if that server may not be used in these regions.
 pub async fn take_lead(
     context: &Context,
     group: &Group,
     need: ConnectionNeed<'_>,
+    allowed: &AllowedRegions,
     until: Timestamp,
 ) -> Result<Place, NotRun> {
     let clock = &context.clock;
@@ -44,6 +47,9 @@
             .filter(|_| context.holds_lease(group));
         let mut missing = NotRun::NoLead;
         if let Some(server) = candidate.filter(|server| answers(server, clock.now())) {
+            if let Some(bar) = context.places.bar_to_lead(allowed, &server, clock.now()) {
+                return Err(NotRun::Barred(bar));
+            }
             match server.pool.acquire(need, until).await {
                 Ok(lease) => return Ok(Place::new(server, lease)),
                 Err(AcquireError::Full) => return Err(NotRun::NoConnection),
@@ -77,11 +83,12 @@
     context: &Context,
     group: &Group,
     need: ConnectionNeed<'_>,
+    allowed: &AllowedRegions,
     until: Timestamp,
 ) -> Result<Begun, NotRun> {
     let clock = &context.clock;
     loop {
-        let place = take_lead(context, group, need, until).await?;
+        let place = take_lead(context, group, need, allowed, until).await?;
         let server = Arc::clone(&place.server);
         let limit = clock.now() + BEGIN_LIMIT;
         let (place, result) = own_attempt(clock, place, ServerRequest::Begin, limit).await;
@@ -134,7 +141,7 @@
         if let Some(_turn) = group.start_proving() {
             let values = Values::new();
             let need = ConnectionNeed::own(&values);
-            let begun = begin_on_lead(context, group, need, until).await;
+            let begun = begin_on_lead(context, group, need, &AllowedRegions::ANYWHERE, until).await;
             let mut begun = begun?;
             if let Ok(connection) = begun.place.connection() {
                 // A connection that breaks here is closed when the place is dropped.
@@ -153,11 +160,15 @@
 impl Unit {
     /// As [`begin_on_lead`], for this unit.
     pub async fn begin_on_lead(&self, until: Timestamp) -> Result<Begun, NotRun> {
-        begin_on_lead(&self.context, &self.group, self.connection_need(), until).await
+        let (context, group) = (&self.context, &self.group);
+        let (need, allowed) = (self.connection_need(), &self.allowed_regions);
+        begin_on_lead(context, group, need, allowed, until).await
     }
 
     /// As [`take_lead`], for this unit.
     pub async fn take_lead(&self, until: Timestamp) -> Result<Place, NotRun> {
-        take_lead(&self.context, &self.group, self.connection_need(), until).await
+        let (context, group) = (&self.context, &self.group);
+        let (need, allowed) = (self.connection_need(), &self.allowed_regions);
+        take_lead(context, group, need, allowed, until).await
     }
 }
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -18,6 +18,7 @@
 
 use rand::seq::IteratorRandom;
 use spurpier_core::lead::{Distance, OwnCommit};
+use spurpier_core::places::AllowedRegions;
 use spurpier_core::position::Position;
 use spurpier_events::{Event, log_event};
 
@@ -32,6 +33,7 @@
 use crate::forward::{CalledAnswer, millis};
 use crate::group::Group;
 use crate::homes::PeerNode;
+use crate::places::Bar;
 use crate::ports::{Answer, Effect, ErrorClass, FreshnessKind, Route, TransactionState};
 use crate::quota::Refused;
 use crate::server::{ConnectionNeed, Server, Values};
@@ -47,6 +49,8 @@
     pub route: Arc<Route>,
     /// Whom it is run for.
     pub caller: Caller,
+    /// Where it may run.
+    pub allowed_regions: AllowedRegions,
     /// The session's values.
     pub values: Values,
     /// The session's last commit in this group.
@@ -76,8 +80,11 @@
     OverQuota(Duration),
     /// No node that counts the tenant's operations has answered; one may within this time.
     NoAuthority(Duration),
-    /// A newer configuration gives the database to another group, or the key to another tenant.
+    /// A newer configuration gives the database to another group, the key to another tenant, or
+    /// allows other regions.
     Rerouted,
+    /// What could run it stands where it must not run.
+    Barred(Bar),
 }
 
 impl NotRun {
@@ -92,6 +99,7 @@
             NotRun::OverQuota(_) => "over_quota",
             NotRun::NoAuthority(_) => "no_quota_authority",
             NotRun::Rerouted => "rerouted",
+            NotRun::Barred(bar) => bar.text(),
         }
     }
 
@@ -99,6 +107,7 @@
     fn retry_after_ms(self) -> u32 {
         match self {
             NotRun::OverQuota(pause) | NotRun::NoAuthority(pause) => millis(pause),
+            NotRun::Barred(bar) => millis(bar.retry_after()),
             NotRun::NoLead | NotRun::NoServer | NotRun::NoHome | NotRun::Rerouted => 300,
             NotRun::NoFreshServer => 200,
             NotRun::NoConnection | NotRun::ServerBusy => 100,
@@ -235,10 +244,13 @@
             return None;
         }
         match in_force.admit(&self.route.database, self.caller.key) {
-            Ok((_, caller)) if caller.tenant != self.caller.tenant => {
-                Some(self.refuse(id, NotRun::Rerouted))
+            Ok(admitted)
+                if admitted.caller.tenant == self.caller.tenant
+                    && admitted.route.group == self.route.group
+                    && admitted.allowed_regions == self.allowed_regions =>
+            {
+                None
             }
-            Ok((route, _)) if route.group == self.route.group => None,
             Ok(_) => Some(self.refuse(id, NotRun::Rerouted)),
             Err(denied) => Some(Answer::denied(denied)),
         }
--- a/crates/spurpier-pipeline/src/unit/read.rs
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use spurpier_core::lead::choose_read_server;
+use spurpier_core::lead::{ServerLoad, choose_read_server};
 use spurpier_core::position::Position;
 use spurpier_core::time::Timestamp;
 
@@ -11,6 +11,7 @@
 use super::lead::renew_proof;
 use super::work::Work;
 use super::{Done, NotRun, Unit};
+use crate::places::Bar;
 use crate::ports::{Answer, ErrorClass, TransactionState};
 use crate::server::{AcquireError, OpenError, Server};
 
@@ -64,7 +65,7 @@
             Err(reason) => return self.refuse(&work.id, reason),
         };
         let mut tried = Vec::new();
-        let mut refused = NotRun::NoServer;
+        let mut refused = self.no_reader();
         for _ in 0..ATTEMPTS {
             let Some(place) = self.next_reader(floor, &mut tried, &mut refused).await else {
                 break;
@@ -164,11 +165,36 @@
     ) -> Option<usize> {
         let lead = self.group.lead().map(|lead| lead.instance.clone());
         let leads = |server: &Server| lead.as_deref() == Some(server.instance.as_str());
+        let now = self.context.clock.now();
         let loads: Vec<_> = servers
             .iter()
-            .map(|server| server.load(leads(server)))
+            .map(|server| {
+                let load = server.load(leads(server));
+                ServerLoad {
+                    takes_reads: load.takes_reads && self.bar_to_read(server, now).is_none(),
+                    ..load
+                }
+            })
+            .collect();
+        choose_read_server(&loads, excluded, floor, now)
+    }
+
+    /// Why a read must not go to a server now; none if it may.
+    fn bar_to_read(&self, server: &Server, now: Timestamp) -> Option<Bar> {
+        let places = &self.context.places;
+        places.bar_to_read(&self.allowed_regions, server, now)
+    }
+
+    /// Why no server can be tried at all: what bars those that stay, if that is so of each.
+    pub(super) fn no_reader(&self) -> NotRun {
+        let now = self.context.clock.now();
+        let servers = self.group.servers();
+        let staying = servers.iter().filter(|server| server.is_staying());
+        let bars: Option<Vec<Bar>> = staying
+            .map(|server| self.bar_to_read(server, now))
             .collect();
-        choose_read_server(&loads, excluded, floor, self.context.clock.now())
+        let bar = bars.and_then(|bars| bars.first().copied());
+        bar.map_or(NotRun::NoServer, NotRun::Barred)
     }
 
     /// The position of a proof that covers all that was acknowledged before now.
--- a/crates/spurpier-pipeline/src/unit/transaction.rs
+++ b/crates/spurpier-pipeline/src/unit/transaction.rs
@@ -159,7 +159,7 @@
         }
         let floor = self.floor().await?;
         let mut tried = Vec::new();
-        let mut refused = NotRun::NoServer;
+        let mut refused = self.no_reader();
         for _ in 0..ATTEMPTS {
             let Some(place) = self.next_reader(floor, &mut tried, &mut refused).await else {
                 break;
--- a/crates/spurpier/src/settings/gateway_schema.rs
+++ b/crates/spurpier/src/settings/gateway_schema.rs
@@ -122,6 +122,39 @@
         Absent::Default("20.0"),
         "Operations by which a tenant may exceed its limit besides, in such a span.",
     ),
+    milliseconds(
+        "evacuation_ms",
+        100,
+        "5000",
+        "Within what nothing more may arrive at the servers of an evacuated zone, in milliseconds.",
+    ),
+    key(
+        "cold_overage",
+        Shape::NotNegative,
+        Absent::Default("1.0"),
+        "The factor by which requests at a cold server may exceed its rate within one second.",
+    ),
+    key(
+        "cold_slack",
+        Shape::NotNegative,
+        Absent::Default("0.0"),
+        "Requests by which they may exceed it besides.",
+    ),
+];
+
+const TOLERANCE: &[Key] = &[
+    key(
+        "zones",
+        Shape::Integer(0, 1_000),
+        Absent::Default("0"),
+        "Whole zones.",
+    ),
+    key(
+        "regions",
+        Shape::Integer(0, 1_000),
+        Absent::Default("0"),
+        "Whole regions.",
+    ),
 ];
 
 /// The settings file of `spurpier gateway`.
@@ -142,4 +175,9 @@
     ),
     table("platform", PLATFORM, "Where the platform is."),
     table("bounds", BOUNDS, "What the platform promises and asks for."),
+    table(
+        "tolerance",
+        TOLERANCE,
+        "What may be lost at once with everything still kept.",
+    ),
 ];
--- a/crates/spurpier/tests/gateway_settings.rs
+++ b/crates/spurpier/tests/gateway_settings.rs
@@ -3,7 +3,7 @@
 use spurpier::settings::check::check;
 use spurpier::settings::gateway_schema::GATEWAY_ROOT;
 use spurpier::settings::schema::Shape;
-use spurpier_pipeline::settings::{BoundSettings, PipelineSettings};
+use spurpier_pipeline::settings::{BoundSettings, PipelineSettings, ToleranceSettings};
 
 /// The template with its gaps filled as the platform fills them.
 fn filled_template() -> String {
@@ -36,6 +36,11 @@
         ("bounds.quota-window-s", "5"),
         ("bounds.quota-overage", "0.1"),
         ("bounds.quota-slack", "20"),
+        ("bounds.evacuation-ms", "5000"),
+        ("bounds.cold-overage", "1.0"),
+        ("bounds.cold-slack", "0"),
+        ("fault-tolerance.zones", "0"),
+        ("fault-tolerance.regions", "0"),
     ] {
         // What is there only if the value is given.
         for mark in ['#', '/'] {
@@ -62,6 +67,7 @@
     assert_eq!(settings.node.link_mbps, 200.0);
     assert!(settings.node.first_start);
     assert_eq!(settings.bounds, BoundSettings::default());
+    assert_eq!(settings.tolerance, ToleranceSettings::default());
 }
 
 #[test]
