--- a/crates/spurpier/src/cli/arguments.rs
+++ b/crates/spurpier/src/cli/arguments.rs
@@ -20,6 +20,8 @@
     Status(StatusArguments),
     /// Print the story of one request, out of the nodes' logs.
     Explain(ExplainArguments),
+    /// Print what was not served and why, out of the nodes' logs.
+    Losses(LossesArguments),
 }
 
 /// The arguments of `spurpier explain`.
@@ -31,6 +33,17 @@
     pub request: String,
 }
 
+/// The arguments of `spurpier losses`.
+#[derive(Debug, Clone)]
+pub struct LossesArguments {
+    /// The nodes' logs.
+    pub logs: Vec<PathBuf>,
+    /// The length of the spans in which statements are counted, in seconds.
+    pub span_s: u64,
+    /// Whether a picture is printed in place of the tables.
+    pub svg: bool,
+}
+
 /// The arguments of `spurpier proxy`.
 #[derive(Debug, Clone)]
 pub struct ProxyArguments {
@@ -120,7 +133,8 @@
     let status = status_command();
     let policy = policy_command();
     let explain = explain_command();
-    construct!([proxy, gateway, settings, policy, status, explain])
+    let losses = losses_command();
+    construct!([proxy, gateway, settings, policy, status, explain, losses])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("A database proxy with session consistency for moves between data centres")
@@ -170,11 +184,35 @@
     command("gateway", description, arguments.map(Command::Gateway))
 }
 
-fn explain_command() -> impl Parser<Command> {
-    let logs = long("log")
+fn logs() -> impl Parser<Vec<PathBuf>> {
+    long("log")
         .help("A node's log; may be given for several nodes")
         .argument::<PathBuf>("FILE")
-        .some("at least one --log FILE");
+        .some("at least one --log FILE")
+}
+
+fn losses_command() -> impl Parser<Command> {
+    /// The shortest and the longest span, in seconds.
+    const SPANS_S: std::ops::RangeInclusive<u64> = 1..=3_600;
+    let logs = logs();
+    let span_s = long("every")
+        .help("The length of the spans in which statements are counted, in seconds")
+        .argument::<u64>("SECONDS")
+        .fallback(2)
+        .guard(
+            |seconds| SPANS_S.contains(seconds),
+            "must be from 1 to 3600",
+        );
+    let svg = long("svg")
+        .help("Print a picture over time as SVG in place of the tables")
+        .switch();
+    let arguments = construct!(LossesArguments { logs, span_s, svg });
+    let description = "Print what was not served, by time, reason, group, node and tenant";
+    command("losses", description, arguments.map(Command::Losses))
+}
+
+fn explain_command() -> impl Parser<Command> {
+    let logs = logs();
     let request =
         positional::<String>("REQUEST-ID").help("The request's id, as the client sent it");
     let arguments = construct!(ExplainArguments { logs, request });
--- a/crates/spurpier/src/cli/mod.rs
+++ b/crates/spurpier/src/cli/mod.rs
@@ -5,6 +5,8 @@
 mod arguments;
 mod explain;
 mod gateway;
+mod logs;
+mod losses;
 mod policy;
 mod proxy;
 mod settings;
@@ -17,8 +19,8 @@
 use bpaf::{Args, ParseFailure};
 
 pub use arguments::{
-    Command, ExplainArguments, GatewayArguments, PlatformSource, PolicyCommand, ProxyArguments,
-    SettingsCommand, StatusArguments, command_line,
+    Command, ExplainArguments, GatewayArguments, LossesArguments, PlatformSource, PolicyCommand,
+    ProxyArguments, SettingsCommand, StatusArguments, command_line,
 };
 
 /// The command did what was asked.
@@ -44,6 +46,7 @@
         Command::Policy(command) => policy::run(&command),
         Command::Status(arguments) => status::run(&arguments),
         Command::Explain(arguments) => explain::run(&arguments),
+        Command::Losses(arguments) => losses::run(&arguments),
     };
     ExitCode::from(code)
 }
--- a/crates/spurpier/src/explain/mod.rs
+++ b/crates/spurpier/src/explain/mod.rs
@@ -1,16 +1,20 @@
-//! The story of one request, read out of the nodes' logs.
+//! What the nodes' logs tell: the story of one request, and what was lost of all of them.
 //!
 //! A request leaves lines at the nodes that decided something on it. What they decided by stands in
 //! other lines: a server that fell silent, a lead that was lost, a promotion. [`story`] puts the
 //! request's lines and those of its groups and servers around them into the order of their times.
 
 mod line;
+mod losses;
+mod picture;
 
 use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::time::Duration;
 
 pub use line::LogLine;
+pub use losses::Losses;
+pub use picture::{PictureError, picture};
 
 /// How long before a request's first line others can have led to it.
 const BEFORE: Duration = Duration::from_secs(4);
--- a/crates/spurpier/tests/command_line.rs
+++ b/crates/spurpier/tests/command_line.rs
@@ -21,6 +21,7 @@
     &["policy", "history"],
     &["status"],
     &["explain"],
+    &["losses"],
 ];
 
 fn spurpier(arguments: &[&str]) -> Output {
@@ -292,3 +293,68 @@
     let unnamed = spurpier(&["explain", "q1"]);
     assert_eq!(code(&unnamed), 2);
 }
+
+/// A line of a statement that was not run.
+fn not_run(node: &str, second: u32, values: &str) -> String {
+    let values = format!("\"event\":6030,\"name\":\"request_not_run\",{values}");
+    log_line(node, second, "refused", &values)
+}
+
+#[test]
+fn losses_counts_what_was_not_served_and_what_the_log_left_out() {
+    let log = [
+        not_run(
+            "n1",
+            1,
+            r#""group":"g1","tenant":"bakers","reason":"no_lead""#,
+        ),
+        not_run(
+            "n2",
+            4,
+            r#""group":"g2","tenant":"bakers","reason":"over_quota","suppressed":"6""#,
+        ),
+        log_line(
+            "n2",
+            5,
+            "unknown",
+            r#""event":6031,"name":"request_unknown","group":"g1","class":"InDoubt""#,
+        ),
+        log_line(
+            "n2",
+            6,
+            "served late",
+            r#""event":6032,"name":"request_retried""#,
+        ),
+    ];
+    let log = file("losses.log", &log.concat());
+    let log = log.to_str().expect("text");
+    let output = spurpier(&["losses", "--log", log, "--every", "2"]);
+    assert_eq!(code(&output), 0, "{}", text(&output.stderr));
+    let tables = text(&output.stdout);
+    let rows: Vec<Vec<&str>> = tables
+        .lines()
+        .map(|line| line.split_whitespace().collect())
+        .collect();
+    for expected in [
+        vec!["seconds", "all", "over_quota", "no_lead", "unknown_InDoubt"],
+        vec!["0.0", "1", "0", "1", "0"],
+        vec!["2.0", "7", "7", "0", "0"],
+        vec!["4.0", "1", "0", "0", "1"],
+        vec!["g2", "7", "7", "0", "0"],
+        vec!["n2", "8", "7", "0", "1"],
+        vec!["bakers", "8", "7", "1", "0"],
+    ] {
+        assert!(rows.contains(&expected), "{expected:?} in\n{tables}");
+    }
+    let output = spurpier(&["losses", "--log", log, "--svg"]);
+    let svg = text(&output.stdout);
+    assert!(
+        svg.starts_with("<svg") && svg.contains("over_quota"),
+        "{svg}"
+    );
+    assert_eq!(
+        code(&spurpier(&["losses", "--log", log, "--every", "0"])),
+        2
+    );
+    assert_eq!(code(&spurpier(&["losses", "--log", "no-such-file"])), 1);
+}
