Rank nodes by zone in one table that is moved by one node at a time

Cause: HomeTable moves ranks by one node at a time, but only for members without weights and a fixed list of databases; the gateway computes its weighted ranks anew from all nodes. RankTable is HomeTable's way made generic over the score, with subjects that may be added later; HomeTable uses it. Ruled out: a second table beside HomeTable; full orders in trees, which cost memory for all nodes of each subject where a dozen places are asked for.

--- a/crates/spurpier-core/src/homes.rs
+++ b/crates/spurpier-core/src/homes.rs
@@ -3,6 +3,7 @@
 //! Every node computes the same ranks from the same members. A node that joins or goes changes
 //! only the ranks in which it stands, and only those are computed anew.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,9 +12,7 @@
 
 use crate::identity::{DatabaseName, ZoneName};
 use crate::membership::{MemberChange, MemberIdentity, NodeKey};
-
-/// An empty place in a rank.
-const NO_NODE: u32 = u32::MAX;
+use crate::ranks::{Moved, RankTable, Rankable};
 
 /// The rendezvous score of a node for a database or another thing that nodes are ranked for.
 pub fn rendezvous_score(subject_digest: u64, node: NodeKey) -> u64 {
@@ -72,14 +71,16 @@
     }
 }
 
-/// The nodes of one zone and the ranks that they hold there.
-#[derive(Debug, Clone)]
-struct ZoneRanks {
-    zone: ZoneName,
-    /// Places of the zone's nodes in the table's list.
-    nodes: Vec<u32>,
-    /// For each database `per_zone` places, best first, filled up with [`NO_NODE`].
-    ranked: Vec<u32>,
+impl Rankable for NodeKey {
+    type Score = (u64, NodeKey);
+
+    fn key(&self) -> NodeKey {
+        *self
+    }
+
+    fn score(&self, subject_digest: u64) -> Self::Score {
+        (rendezvous_score(subject_digest, *self), *self)
+    }
 }
 
 /// The homes of all databases.
@@ -89,17 +90,14 @@
     names: Vec<DatabaseName>,
     digests: Vec<u64>,
     by_name: HashMap<DatabaseName, u32>,
-    nodes: Vec<NodeKey>,
-    free: Vec<u32>,
-    place_of: HashMap<NodeKey, u32>,
-    zones: Vec<ZoneRanks>,
+    ranks: RankTable<NodeKey, ZoneName>,
 }
 
 impl HomeTable {
     /// A table of these databases without nodes. With `per_zone` 0 every node is a home.
     pub fn new(databases: impl IntoIterator<Item = DatabaseName>, per_zone: usize) -> Self {
         let names: Vec<DatabaseName> = databases.into_iter().collect();
-        let digests = names
+        let digests: Vec<u64> = names
             .iter()
             .map(|name| subject_digest(name.as_str()))
             .collect();
@@ -108,15 +106,16 @@
             .enumerate()
             .map(|(index, name)| (name.clone(), index as u32))
             .collect();
+        let mut ranks = RankTable::new(per_zone);
+        for digest in &digests {
+            ranks.add_subject(*digest);
+        }
         HomeTable {
             per_zone,
             names,
             digests,
             by_name,
-            nodes: Vec::new(),
-            free: Vec::new(),
-            place_of: HashMap::new(),
-            zones: Vec::new(),
+            ranks,
         }
     }
 
@@ -137,63 +136,40 @@
 
     /// Adds a node; gives the databases of which it has become a home.
     pub fn add(&mut self, identity: &Arc<MemberIdentity>) -> Vec<DatabaseName> {
-        let key = identity.key();
-        if self.place_of.contains_key(&key) {
-            return Vec::new();
-        }
-        let place = self.take_place(key);
-        let zone = self.zone_index(&identity.zone);
-        self.zones[zone].nodes.push(place);
-        let mut gained = Vec::new();
-        for database in 0..self.digests.len() {
-            if self.offer(zone, database, place) {
-                gained.push(self.names[database].clone());
-            }
-        }
-        gained
+        let moved = self.ranks.add(&identity.zone, identity.key());
+        self.names_of(&moved)
     }
 
     /// Takes a node out; gives the databases of which it was a home.
     pub fn remove(&mut self, key: NodeKey) -> Vec<DatabaseName> {
-        let Some(place) = self.place_of.remove(&key) else {
-            return Vec::new();
-        };
-        let zone = self
-            .zones
-            .iter()
-            .position(|zone| zone.nodes.contains(&place));
-        self.free.push(place);
-        let Some(zone) = zone else {
-            return Vec::new();
-        };
-        self.zones[zone].nodes.retain(|node| *node != place);
-        let mut lost = Vec::new();
-        for database in 0..self.digests.len() {
-            if self.vacate(zone, database, place) {
-                lost.push(self.names[database].clone());
-            }
-        }
-        lost
+        let moved = self.ranks.remove(key);
+        self.names_of(&moved)
+    }
+
+    fn names_of(&self, moved: &[Moved]) -> Vec<DatabaseName> {
+        let names = moved.iter().map(|moved| &self.names[moved.subject]);
+        names.cloned().collect()
     }
 
     /// The homes of a database; none when the database is unknown.
     pub fn homes_of(&self, database: &DatabaseName) -> Option<RankedHomes> {
         let index = *self.by_name.get(database)? as usize;
         let digest = self.digests[index];
-        let mut zones: Vec<ZoneHomes> = self
-            .zones
-            .iter()
-            .map(|zone| ZoneHomes {
-                zone: zone.zone.clone(),
-                nodes: self.ranked_keys(zone, index),
-            })
-            .filter(|homes| !homes.nodes.is_empty())
-            .collect();
+        let mut zones: Vec<ZoneHomes> = if self.per_zone > 0 {
+            let ranked = self.ranks.ranked(index);
+            ranked
+                .map(|(zone, nodes)| zone_homes(zone, nodes))
+                .collect()
+        } else {
+            let all = self.ranks.zone_nodes();
+            let all = all.map(|(zone, nodes)| zone_homes(zone, all_ranked(nodes, digest)));
+            all.collect()
+        };
         zones.sort_unstable_by(|left, right| left.zone.cmp(&right.zone));
         let first = zones
             .iter()
             .map(|homes| homes.nodes[0])
-            .max_by_key(|node| (rendezvous_score(digest, *node), *node));
+            .max_by_key(|node| node.score(digest));
         Some(RankedHomes { zones, first })
     }
 
@@ -202,14 +178,10 @@
         let Some(index) = self.by_name.get(database) else {
             return false;
         };
-        let Some(place) = self.place_of.get(&node) else {
-            return false;
-        };
-        self.per_zone == 0
-            || self
-                .zones
-                .iter()
-                .any(|zone| self.row(zone, *index as usize).contains(place))
+        if self.per_zone == 0 {
+            return self.ranks.contains(node);
+        }
+        self.ranks.holds_place(*index as usize, node)
     }
 
     /// Whether the node is the first-ranked home of the database.
@@ -228,110 +200,18 @@
             .map(|name| size_of::<DatabaseName>() + COUNTS + name.as_str().len())
             .sum();
         let by_name = self.by_name.capacity() * (size_of::<(DatabaseName, u32)>() + 1) * 8 / 7;
-        let place_of = self.place_of.capacity() * (size_of::<(NodeKey, u32)>() + 1) * 8 / 7;
-        let zones: usize = self
-            .zones
-            .iter()
-            .map(|zone| (zone.nodes.capacity() + zone.ranked.capacity()) * size_of::<u32>())
-            .sum();
-        names
-            + by_name
-            + place_of
-            + zones
-            + (self.digests.capacity() + self.nodes.capacity()) * size_of::<u64>()
-    }
-
-    fn take_place(&mut self, key: NodeKey) -> u32 {
-        let place = match self.free.pop() {
-            Some(place) => place,
-            None => {
-                self.nodes.push(key);
-                (self.nodes.len() - 1) as u32
-            }
-        };
-        self.nodes[place as usize] = key;
-        self.place_of.insert(key, place);
-        place
-    }
-
-    fn zone_index(&mut self, name: &ZoneName) -> usize {
-        let known = self.zones.iter().position(|zone| zone.zone == *name);
-        known.unwrap_or_else(|| {
-            self.zones.push(ZoneRanks {
-                zone: name.clone(),
-                nodes: Vec::new(),
-                ranked: vec![NO_NODE; self.digests.len() * self.per_zone],
-            });
-            self.zones.len() - 1
-        })
-    }
-
-    fn row<'a>(&self, zone: &'a ZoneRanks, database: usize) -> &'a [u32] {
-        let start = database * self.per_zone;
-        &zone.ranked[start..start + self.per_zone]
-    }
-
-    /// The score by which places are compared; an empty place is below every node.
-    fn score(&self, database: usize, place: u32) -> Option<(u64, NodeKey)> {
-        let key = *self.nodes.get(place as usize)?;
-        Some((rendezvous_score(self.digests[database], key), key))
-    }
-
-    /// Puts a new node into a database's rank if it belongs there.
-    fn offer(&mut self, zone: usize, database: usize, place: u32) -> bool {
-        let score = self.score(database, place);
-        let row = self.row(&self.zones[zone], database);
-        let position = (0..row.len())
-            .rev()
-            .take_while(|index| score > self.score(database, row[*index]))
-            .last();
-        let Some(position) = position else {
-            return false;
-        };
-        let start = database * self.per_zone;
-        let row = &mut self.zones[zone].ranked[start..start + self.per_zone];
-        row[position..].rotate_right(1);
-        row[position] = place;
-        true
+        let digests = self.digests.capacity() * size_of::<u64>();
+        names + by_name + digests + self.ranks.memory_bytes()
     }
+}
 
-    /// Takes a node out of a database's rank and fills the last place with the next best.
-    fn vacate(&mut self, zone: usize, database: usize, place: u32) -> bool {
-        let row = self.row(&self.zones[zone], database);
-        let Some(position) = row.iter().position(|held| *held == place) else {
-            return false;
-        };
-        let next = self.zones[zone]
-            .nodes
-            .iter()
-            .copied()
-            .filter(|node| !row.contains(node))
-            .max_by_key(|node| self.score(database, *node))
-            .unwrap_or(NO_NODE);
-        let start = database * self.per_zone;
-        let row = &mut self.zones[zone].ranked[start..start + self.per_zone];
-        row[position..].rotate_left(1);
-        row[self.per_zone - 1] = next;
-        true
-    }
+fn zone_homes(zone: &ZoneName, nodes: Vec<NodeKey>) -> ZoneHomes {
+    let zone = zone.clone();
+    ZoneHomes { zone, nodes }
+}
 
-    fn ranked_keys(&self, zone: &ZoneRanks, database: usize) -> Vec<NodeKey> {
-        if self.per_zone > 0 {
-            let held = self.row(zone, database).iter();
-            return held
-                .filter(|place| **place != NO_NODE)
-                .map(|place| self.nodes[*place as usize])
-                .collect();
-        }
-        let digest = self.digests[database];
-        let mut all: Vec<NodeKey> = zone
-            .nodes
-            .iter()
-            .map(|place| self.nodes[*place as usize])
-            .collect();
-        all.sort_unstable_by_key(|node| {
-            std::cmp::Reverse((rendezvous_score(digest, *node), *node))
-        });
-        all
-    }
+fn all_ranked(nodes: impl Iterator<Item = NodeKey>, digest: u64) -> Vec<NodeKey> {
+    let mut nodes: Vec<NodeKey> = nodes.collect();
+    nodes.sort_unstable_by_key(|node| Reverse(node.score(digest)));
+    nodes
 }
--- a/crates/spurpier-core/src/lead/homes.rs
+++ b/crates/spurpier-core/src/lead/homes.rs
@@ -5,8 +5,11 @@
 //! these. Every node ranks the same nodes in the same order, by weighted rendezvous, so that a
 //! node that comes or goes moves only the groups in whose first ranks it stands.
 
+use std::cmp::{Ordering, Reverse};
+
 use crate::homes::{rendezvous_score, subject_digest};
 use crate::membership::NodeKey;
+use crate::ranks::Rankable;
 
 /// Every node is a home where each has at least so many connections to each server: no unit is
 /// forwarded, and the loss of a node takes no other node's units with it.
@@ -18,7 +21,7 @@
 /// that a zone keeps one while the other restarts; a fail-over asks all of them, and each keeps its
 /// own proof of the lead. With 138 homes of each of 20 groups on 295 nodes a node spent most of its
 /// processor time on them.
-const MOST_HOMES: usize = 12;
+pub const MOST_HOMES: usize = 12;
 
 /// A node as it is ranked.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -40,23 +43,59 @@
 }
 
 /// The order in which the nodes of a zone are homes of a group: indices, best first.
+///
+/// What follows the changes of a fleet keeps a [`RankTable`](crate::ranks::RankTable) instead.
 pub fn rank_homes(group: &str, nodes: &[RankedNode]) -> Vec<usize> {
     let digest = subject_digest(group);
-    let mut order: Vec<(f64, NodeKey, usize)> = nodes
-        .iter()
-        .enumerate()
-        .map(|(index, node)| (weighted_score(digest, node), node.key, index))
-        .collect();
-    order.sort_by(|left, right| right.0.total_cmp(&left.0).then(right.1.cmp(&left.1)));
-    order.into_iter().map(|(_, _, index)| index).collect()
-}
-
-/// Weighted rendezvous: a node with twice the weight ranks first for twice as many groups.
-fn weighted_score(digest: u64, node: &RankedNode) -> f64 {
-    /// The bits of a hash that a floating-point number holds exactly.
-    const EXACT_BITS: u32 = 53;
-    let hash = rendezvous_score(digest, node.key) >> (u64::BITS - EXACT_BITS);
-    // Above zero and below one for every hash.
-    let uniform = (hash as f64 + 0.5) / (1_u64 << EXACT_BITS) as f64;
-    -node.weight / uniform.ln()
+    let mut order: Vec<usize> = (0..nodes.len()).collect();
+    order.sort_by_cached_key(|index| Reverse(nodes[*index].score(digest)));
+    order
+}
+
+/// Weighted rendezvous: a node with twice the weight ranks first for twice as many subjects.
+#[derive(Debug, Clone, Copy)]
+pub struct WeightedScore {
+    score: f64,
+    key: NodeKey,
+}
+
+impl Ord for WeightedScore {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_score = self.score.total_cmp(&other.score);
+        by_score.then(self.key.cmp(&other.key))
+    }
+}
+
+impl PartialOrd for WeightedScore {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for WeightedScore {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for WeightedScore {}
+
+impl Rankable for RankedNode {
+    type Score = WeightedScore;
+
+    fn key(&self) -> NodeKey {
+        self.key
+    }
+
+    fn score(&self, subject_digest: u64) -> WeightedScore {
+        /// The bits of a hash that a floating-point number holds exactly.
+        const EXACT_BITS: u32 = 53;
+        let hash = rendezvous_score(subject_digest, self.key) >> (u64::BITS - EXACT_BITS);
+        // Above zero and below one for every hash.
+        let uniform = (hash as f64 + 0.5) / (1_u64 << EXACT_BITS) as f64;
+        WeightedScore {
+            score: -self.weight / uniform.ln(),
+            key: self.key,
+        }
+    }
 }
--- a/crates/spurpier-core/src/lead/mod.rs
+++ b/crates/spurpier-core/src/lead/mod.rs
@@ -19,7 +19,7 @@
 pub use duty::{DutyRow, DutyStep, HolderRecord, next_step};
 pub use evidence::{LeadEvidence, OwnCommit, Proof, read_floor};
 pub use failover::{Candidate, Missing, SPLIT_PATIENCE, Sight, Verdict, choose_successor, judge};
-pub use homes::{RankedNode, homes_per_zone, rank_homes};
+pub use homes::{MOST_HOMES, RankedNode, WeightedScore, homes_per_zone, rank_homes};
 pub use lease::{
     LEASE, LEASE_MARGIN, ORDER_WINDOW, RoundState, Succession, YieldRound, holds_lease,
 };
--- a/crates/spurpier-core/src/lib.rs
+++ b/crates/spurpier-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pool;
 pub mod position;
 pub mod quota;
+pub mod ranks;
 pub mod reason;
 pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/crates/spurpier-core/src/ranks.rs
@@ -0,0 +1,272 @@
+//! Ranks of nodes by zone, for many subjects, moved by one node at a time.
+//!
+//! All nodes that know the same nodes rank them alike. A node that comes or goes is compared with
+//! the last place held of each subject in its zone, and changes only the ranks in which it stands:
+//! its cost does not grow with the fleet.
+
+use std::collections::HashMap;
+
+use crate::membership::NodeKey;
+
+/// An empty place.
+const NO_NODE: u32 = u32::MAX;
+
+/// A node that can be ranked.
+pub trait Rankable: Copy {
+    /// What nodes are compared by; the greater one ranks first. No two nodes have the same.
+    type Score: Ord;
+
+    /// What the node is known by.
+    fn key(&self) -> NodeKey;
+
+    /// Its score for a subject of this digest.
+    fn score(&self, subject_digest: u64) -> Self::Score;
+}
+
+/// A rank that has changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Moved {
+    /// The subject, as numbered by [`RankTable::add_subject`].
+    pub subject: usize,
+    /// The first place that changed in the zone's rank, from 0.
+    pub place: usize,
+}
+
+/// A node and where it stands.
+#[derive(Debug, Clone, Copy)]
+struct HeldNode<N> {
+    node: N,
+    zone: u32,
+    /// Its index among the zone's nodes.
+    index: u32,
+}
+
+/// The nodes of one zone and the ranks that they hold there.
+#[derive(Debug, Clone)]
+struct ZoneRanks<Z> {
+    zone: Z,
+    /// Slots of the zone's nodes.
+    nodes: Vec<u32>,
+    /// For each subject `places` slots, best first, filled up with [`NO_NODE`].
+    ranked: Vec<u32>,
+}
+
+/// The first ranks of each zone, for many subjects.
+#[derive(Debug, Clone)]
+pub struct RankTable<N, Z> {
+    places: usize,
+    subjects: Vec<u64>,
+    slots: Vec<HeldNode<N>>,
+    free: Vec<u32>,
+    slot_of: HashMap<NodeKey, u32>,
+    zones: Vec<ZoneRanks<Z>>,
+}
+
+impl<N: Rankable, Z: Clone + Eq> RankTable<N, Z> {
+    /// A table without nodes and subjects that holds so many places of each zone.
+    pub fn new(places: usize) -> Self {
+        RankTable {
+            places,
+            subjects: Vec::new(),
+            slots: Vec::new(),
+            free: Vec::new(),
+            slot_of: HashMap::new(),
+            zones: Vec::new(),
+        }
+    }
+
+    /// Ranks the nodes for one more subject; gives its number, counted from 0.
+    pub fn add_subject(&mut self, digest: u64) -> usize {
+        let subject = self.subjects.len();
+        self.subjects.push(digest);
+        for zone in 0..self.zones.len() {
+            let length = self.subjects.len() * self.places;
+            self.zones[zone].ranked.resize(length, NO_NODE);
+            for index in 0..self.zones[zone].nodes.len() {
+                self.offer(zone, subject, self.zones[zone].nodes[index]);
+            }
+        }
+        subject
+    }
+
+    /// Adds a node, unless one of its key is known; gives the ranks into which it has come.
+    pub fn add(&mut self, zone: &Z, node: N) -> Vec<Moved> {
+        if self.slot_of.contains_key(&node.key()) {
+            return Vec::new();
+        }
+        let zone = self.zone_index(zone);
+        let slot = self.take_slot(zone, node);
+        self.moved(|table, subject| table.offer(zone, subject, slot))
+    }
+
+    /// Takes a node out; gives the ranks that it has left.
+    pub fn remove(&mut self, key: NodeKey) -> Vec<Moved> {
+        let Some(slot) = self.slot_of.remove(&key) else {
+            return Vec::new();
+        };
+        let zone = self.slots[slot as usize].zone as usize;
+        self.leave_slot(slot);
+        self.moved(|table, subject| table.vacate(zone, subject, slot))
+    }
+
+    fn moved(&mut self, mut change: impl FnMut(&mut Self, usize) -> Option<usize>) -> Vec<Moved> {
+        let mut moved = Vec::new();
+        for subject in 0..self.subjects.len() {
+            if let Some(place) = change(self, subject) {
+                moved.push(Moved { subject, place });
+            }
+        }
+        moved
+    }
+
+    /// Whether a node is known.
+    pub fn contains(&self, key: NodeKey) -> bool {
+        self.slot_of.contains_key(&key)
+    }
+
+    /// How many nodes there are.
+    pub fn node_count(&self) -> usize {
+        self.slot_of.len()
+    }
+
+    /// How many zones have nodes.
+    pub fn zone_count(&self) -> usize {
+        let zones = self.zones.iter();
+        zones.filter(|zone| !zone.nodes.is_empty()).count()
+    }
+
+    /// The zones that have nodes, in no order, each with the places held of a subject, best first.
+    pub fn ranked(&self, subject: usize) -> impl Iterator<Item = (&Z, Vec<N>)> {
+        let zones = self.zones.iter().filter(|zone| !zone.nodes.is_empty());
+        zones.map(move |zone| {
+            let held = self.row(zone, subject).iter();
+            let held = held.filter(|slot| **slot != NO_NODE);
+            let nodes = held.map(|slot| self.slots[*slot as usize].node);
+            (&zone.zone, nodes.collect())
+        })
+    }
+
+    /// The zones that have nodes, in no order, each with all of them, in no order.
+    pub fn zone_nodes(&self) -> impl Iterator<Item = (&Z, impl Iterator<Item = N>)> {
+        let zones = self.zones.iter().filter(|zone| !zone.nodes.is_empty());
+        zones.map(|zone| {
+            let nodes = zone.nodes.iter();
+            (
+                &zone.zone,
+                nodes.map(|slot| self.slots[*slot as usize].node),
+            )
+        })
+    }
+
+    /// Whether a node holds one of the places of a subject.
+    pub fn holds_place(&self, subject: usize, key: NodeKey) -> bool {
+        let Some(slot) = self.slot_of.get(&key) else {
+            return false;
+        };
+        let zone = self.slots[*slot as usize].zone as usize;
+        self.row(&self.zones[zone], subject).contains(slot)
+    }
+
+    /// The bytes that the table holds.
+    pub fn memory_bytes(&self) -> usize {
+        let slot_of = self.slot_of.capacity() * (size_of::<(NodeKey, u32)>() + 1) * 8 / 7;
+        let zones = self.zones.iter();
+        let zones = zones.map(|zone| zone.nodes.capacity() + zone.ranked.capacity());
+        zones.sum::<usize>() * size_of::<u32>()
+            + slot_of
+            + self.subjects.capacity() * size_of::<u64>()
+            + self.slots.capacity() * size_of::<HeldNode<N>>()
+    }
+
+    fn zone_index(&mut self, name: &Z) -> usize {
+        let known = self.zones.iter().position(|zone| zone.zone == *name);
+        known.unwrap_or_else(|| {
+            self.zones.push(ZoneRanks {
+                zone: name.clone(),
+                nodes: Vec::new(),
+                ranked: vec![NO_NODE; self.subjects.len() * self.places],
+            });
+            self.zones.len() - 1
+        })
+    }
+
+    fn take_slot(&mut self, zone: usize, node: N) -> u32 {
+        let nodes = &mut self.zones[zone].nodes;
+        let held = HeldNode {
+            node,
+            zone: zone as u32,
+            index: nodes.len() as u32,
+        };
+        let slot = match self.free.pop() {
+            Some(slot) => {
+                self.slots[slot as usize] = held;
+                slot
+            }
+            None => {
+                self.slots.push(held);
+                (self.slots.len() - 1) as u32
+            }
+        };
+        nodes.push(slot);
+        self.slot_of.insert(node.key(), slot);
+        slot
+    }
+
+    fn leave_slot(&mut self, slot: u32) {
+        let held = &self.slots[slot as usize];
+        let (zone, index) = (held.zone as usize, held.index);
+        let nodes = &mut self.zones[zone].nodes;
+        nodes.swap_remove(index as usize);
+        if let Some(swapped) = nodes.get(index as usize) {
+            self.slots[*swapped as usize].index = index;
+        }
+        self.free.push(slot);
+    }
+
+    fn row<'a>(&self, zone: &'a ZoneRanks<Z>, subject: usize) -> &'a [u32] {
+        let start = subject * self.places;
+        &zone.ranked[start..start + self.places]
+    }
+
+    fn row_mut(&mut self, zone: usize, subject: usize) -> &mut [u32] {
+        let start = subject * self.places;
+        &mut self.zones[zone].ranked[start..start + self.places]
+    }
+
+    /// The score by which places are compared; an empty place is below every node.
+    fn score(&self, subject: usize, slot: u32) -> Option<N::Score> {
+        let held = self.slots.get(slot as usize)?;
+        Some(held.node.score(self.subjects[subject]))
+    }
+
+    /// Puts a new node into a subject's rank if it belongs there; gives its place.
+    fn offer(&mut self, zone: usize, subject: usize, slot: u32) -> Option<usize> {
+        let score = self.score(subject, slot);
+        let row = self.row(&self.zones[zone], subject);
+        let place = (0..row.len())
+            .rev()
+            .take_while(|place| score > self.score(subject, row[*place]))
+            .last()?;
+        let row = self.row_mut(zone, subject);
+        row[place..].rotate_right(1);
+        row[place] = slot;
+        Some(place)
+    }
+
+    /// Takes a node out of a subject's rank and fills the last place with the next best; gives the
+    /// place that it held.
+    fn vacate(&mut self, zone: usize, subject: usize, slot: u32) -> Option<usize> {
+        let row = self.row(&self.zones[zone], subject);
+        let place = row.iter().position(|held| *held == slot)?;
+        let others = self.zones[zone].nodes.iter().copied();
+        let next = others
+            .filter(|node| !row.contains(node))
+            .max_by_key(|node| self.score(subject, *node))
+            .unwrap_or(NO_NODE);
+        let last = self.places - 1;
+        let row = self.row_mut(zone, subject);
+        row[place..].rotate_left(1);
+        row[last] = next;
+        Some(place)
+    }
+}
--- /dev/null
+++ b/crates/spurpier-core/tests/ranks.rs
@@ -0,0 +1,161 @@
+//! Ranks that are moved by one node at a time are those that are computed anew, at a cost that does
+//! not grow with the fleet.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use spurpier_core::homes::subject_digest;
+use spurpier_core::lead::{MOST_HOMES, RankedNode, WeightedScore, rank_homes};
+use spurpier_core::membership::NodeKey;
+use spurpier_core::ranks::{RankTable, Rankable};
+
+const ZONES: u64 = 6;
+const SUBJECTS: usize = 8;
+
+fn subject(number: usize) -> String {
+    format!("group-{number}")
+}
+
+fn node(number: u64, weight: f64) -> RankedNode {
+    RankedNode {
+        key: NodeKey(subject_digest(&format!("node-{number}"))),
+        weight,
+    }
+}
+
+/// One change of the fleet.
+#[derive(Debug, Clone, Copy)]
+enum Change {
+    /// A node comes, or comes back in another zone or with another weight.
+    Put { number: u64, zone: u64, weight: f64 },
+    /// A node goes.
+    Remove { number: u64 },
+    /// A subject is asked for.
+    Subject,
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    let weight = prop::sample::select(vec![0.01, 0.12, 0.5, 1.0, 4.0]);
+    prop_oneof![
+        6 => (0u64..60, 0u64..3, weight)
+            .prop_map(|(number, zone, weight)| Change::Put { number, zone, weight }),
+        3 => (0u64..60).prop_map(|number| Change::Remove { number }),
+        1 => Just(Change::Subject),
+    ]
+}
+
+/// The first places of each zone, computed from all nodes.
+fn computed_anew(
+    nodes: &BTreeMap<u64, (u64, RankedNode)>,
+    subject: &str,
+    places: usize,
+) -> BTreeMap<u64, Vec<RankedNode>> {
+    let mut zones: BTreeMap<u64, Vec<RankedNode>> = BTreeMap::new();
+    for (zone, node) in nodes.values() {
+        zones.entry(*zone).or_default().push(*node);
+    }
+    for members in zones.values_mut() {
+        let order = rank_homes(subject, members).into_iter().take(places);
+        *members = order.map(|index| members[index]).collect();
+    }
+    zones
+}
+
+proptest! {
+    #[test]
+    fn moved_ranks_are_those_that_are_computed_anew(
+        changes in prop::collection::vec(change(), 0..150),
+        places in 1usize..=MOST_HOMES,
+    ) {
+        let mut table: RankTable<RankedNode, u64> = RankTable::new(places);
+        let mut nodes = BTreeMap::new();
+        let mut before: Vec<BTreeMap<u64, Vec<RankedNode>>> = Vec::new();
+        for change in changes {
+            let moved = match change {
+                Change::Put { number, zone, weight } => {
+                    let newcomer = node(number, weight);
+                    let mut moved = table.remove(newcomer.key);
+                    moved.extend(table.add(&zone, newcomer));
+                    nodes.insert(number, (zone, newcomer));
+                    moved
+                }
+                Change::Remove { number } => {
+                    nodes.remove(&number);
+                    table.remove(node(number, 1.0).key)
+                }
+                Change::Subject => {
+                    let number = before.len();
+                    prop_assert_eq!(table.add_subject(subject_digest(&subject(number))), number);
+                    before.push(computed_anew(&nodes, &subject(number), places));
+                    Vec::new()
+                }
+            };
+            for (number, before) in before.iter_mut().enumerate() {
+                let after = computed_anew(&nodes, &subject(number), places);
+                let ranked = table.ranked(number);
+                let ranked: BTreeMap<u64, Vec<RankedNode>> =
+                    ranked.map(|(zone, nodes)| (*zone, nodes)).collect();
+                prop_assert_eq!(&ranked, &after);
+                if *before != after {
+                    prop_assert!(moved.iter().any(|moved| moved.subject == number));
+                }
+                *before = after;
+            }
+            prop_assert_eq!(table.node_count(), nodes.len());
+        }
+    }
+}
+
+thread_local! {
+    static SCORED: Cell<u64> = const { Cell::new(0) };
+}
+
+/// A node that counts how often it is scored.
+#[derive(Debug, Clone, Copy)]
+struct CountedNode(RankedNode);
+
+impl Rankable for CountedNode {
+    type Score = WeightedScore;
+
+    fn key(&self) -> NodeKey {
+        self.0.key
+    }
+
+    fn score(&self, subject_digest: u64) -> WeightedScore {
+        SCORED.set(SCORED.get() + 1);
+        self.0.score(subject_digest)
+    }
+}
+
+/// How often nodes are scored for one row, on average over each node's going and coming back.
+fn scored_a_row(nodes: u64) -> f64 {
+    let mut table = RankTable::new(MOST_HOMES);
+    for number in 0..SUBJECTS {
+        table.add_subject(subject_digest(&subject(number)));
+    }
+    for number in 0..nodes {
+        table.add(&(number % ZONES), CountedNode(node(number, 1.0)));
+    }
+    SCORED.set(0);
+    for number in 0..nodes {
+        let moving = CountedNode(node(number, 1.0));
+        table.remove(moving.0.key);
+        table.add(&(number % ZONES), moving);
+    }
+    SCORED.get() as f64 / (2 * nodes) as f64
+}
+
+/// A fleet of any size scores at most these nodes for one row and subject: two for a node that
+/// comes and does not rank; of those that go, 12 of a zone's nodes rank, and each makes the zone's
+/// others be scored once with one more: 12 or fewer, and as many for the place that it takes back.
+const MOST_SCORED: f64 = 24.0;
+
+#[test]
+fn the_cost_of_one_row_does_not_grow_with_the_fleet() {
+    for nodes in [30, 300, 6_100] {
+        let scored = scored_a_row(nodes) / SUBJECTS as f64;
+        println!("{nodes} nodes: {scored:.1} scored for each row and subject");
+        assert!(scored <= MOST_SCORED, "{nodes} nodes: {scored}");
+    }
+}
