Look for unused connections only at the pools that have connections

A pool lists itself while it has a connection, open or being opened. Ruled out: going over the groups in use alone; a node that is no home of a group has a connection for its questions to servers all the same.

--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -27,7 +27,7 @@
     ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
 };
 use crate::quota::Quotas;
-use crate::server::Server;
+use crate::server::{OpenPools, Server};
 use crate::settings::PipelineSettings;
 
 /// Attempts beyond the first: a lost server makes many statements try again at the same time, so
@@ -63,6 +63,8 @@
     pub groups: Mutex<BTreeMap<String, Arc<Group>>>,
     /// The groups that this node stands in for or sees to, and some that it has just ceased to.
     pub visited: Mutex<BTreeMap<String, Arc<Group>>>,
+    /// The pools that have connections to servers.
+    pub open_pools: Arc<OpenPools>,
     /// The other nodes, and which nodes are the homes of each group.
     pub homes: Homes,
     /// Where units may run.
--- a/crates/spurpier-pipeline/src/directory.rs
+++ b/crates/spurpier-pipeline/src/directory.rs
@@ -60,7 +60,9 @@
         };
         let dialect = Arc::clone(&context.server_dialect);
         let limit = connection_share(context, &group.name, &entry.zone);
-        let pool = Pool::new(target, dialect, context.clock.clone(), limit);
+        let clock = context.clock.clone();
+        let open_pools = Arc::clone(&context.open_pools);
+        let pool = Pool::new(target, dialect, clock, open_pools, limit);
         let distance = context.distance(&entry.zone);
         let leaving_since = entry.draining.then(|| context.clock.now());
         let listing = Listing {
@@ -258,11 +260,7 @@
 pub async fn close_unused(context: Arc<Context>) {
     loop {
         tokio::time::sleep(UNUSED_INTERVAL).await;
-        for group in context.all_groups() {
-            for server in group.servers() {
-                server.pool.close_unused(UNUSED_LIMIT);
-            }
-        }
+        context.open_pools.close_unused(UNUSED_LIMIT);
     }
 }
 
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -190,6 +190,7 @@
             configuration: watch::Sender::new(None),
             groups: Mutex::default(),
             visited: Mutex::default(),
+            open_pools: Arc::default(),
             links,
             store_lost: AtomicBool::new(false),
             store_regained_at: Mutex::default(),
--- a/crates/spurpier-pipeline/src/server/pool/mod.rs
+++ b/crates/spurpier-pipeline/src/server/pool/mod.rs
@@ -4,6 +4,7 @@
 //! one of another caller is closed in favour of a caller that has none.
 
 mod demand;
+mod open;
 mod opening;
 
 use std::net::SocketAddr;
@@ -16,6 +17,7 @@
 use tokio::sync::Notify;
 
 use self::demand::Demand;
+pub use self::open::OpenPools;
 pub use self::opening::Lease;
 use self::opening::Opening;
 use super::connection::{OpenError, ServerConnection, Values};
@@ -110,6 +112,8 @@
     /// The one that was given back last stands last.
     idle: Vec<Idle>,
     total: usize,
+    /// Whether this pool is among the open ones.
+    is_listed: bool,
     limit: usize,
     demand: Demand,
     uses: PoolUse,
@@ -127,25 +131,30 @@
     target: Target,
     dialect: Arc<dyn ServerDialect>,
     clock: Clock,
+    open_pools: Arc<OpenPools>,
     inner: Mutex<PoolInner>,
     freed: Notify,
 }
 
 impl Pool {
-    /// An empty pool of at most `limit` connections.
+    /// An empty pool of at most `limit` connections; it is listed in `open_pools` while it has
+    /// any.
     pub fn new(
         target: Target,
         dialect: Arc<dyn ServerDialect>,
         clock: Clock,
+        open_pools: Arc<OpenPools>,
         limit: usize,
     ) -> Arc<Self> {
         Arc::new(Pool {
             target,
             dialect,
             clock,
+            open_pools,
             inner: Mutex::new(PoolInner {
                 idle: Vec::new(),
                 total: 0,
+                is_listed: false,
                 limit,
                 demand: Demand::default(),
                 uses: PoolUse::default(),
@@ -193,7 +202,7 @@
     ///
     /// A server keeps the connections of a machine that lost power for a while, and takes no more
     /// than its limit: what is not open then is free for the machine's next start.
-    pub fn close_unused(&self, limit: Duration) {
+    fn close_unused(&self, limit: Duration) {
         let now = self.clock.now();
         let closed: Vec<Idle> = {
             let mut inner = self.lock();
@@ -206,6 +215,13 @@
         drop(closed);
     }
 
+    /// Whether any connection is open or being opened; if not, the next one lists the pool anew.
+    fn is_open(&self) -> bool {
+        let mut inner = self.lock();
+        inner.is_listed = inner.total > 0;
+        inner.is_listed
+    }
+
     /// Closes the idle connections, as for a server that is leaving or silent.
     pub fn close_idle(&self) {
         let closed = {
@@ -296,7 +312,7 @@
     /// One more connection, if not enough are being opened for the caller already. Where no more
     /// may be open it takes the place of the connection that was unused for longest.
     fn start_opening(self: &Arc<Self>, need: &ConnectionNeed<'_>) -> Option<Opening> {
-        let displaced = {
+        let (displaced, was_listed) = {
             let mut inner = self.lock();
             let is_full = self.clock.now() < inner.full_until;
             if is_full || !inner.demand.wants_opening(need.opener()) {
@@ -313,9 +329,12 @@
             };
             inner.demand.start_opening(need.opener());
             inner.uses.opened += 1;
-            displaced
+            (displaced, std::mem::replace(&mut inner.is_listed, true))
         };
         drop(displaced);
+        if !was_listed {
+            self.open_pools.add(Arc::clone(self));
+        }
         Some(Opening::new(self, need.opener()))
     }
 
