--- a/crates/spurpier-pipeline/src/directory.rs
+++ b/crates/spurpier-pipeline/src/directory.rs
@@ -60,7 +60,9 @@
         };
         let dialect = Arc::clone(&context.server_dialect);
         let limit = connection_share(context, &group.name, &entry.zone);
-        let pool = Pool::new(target, dialect, context.clock.clone(), limit);
+        let clock = context.clock.clone();
+        let open_pools = Arc::clone(&context.open_pools);
+        let pool = Pool::new(target, dialect, clock, open_pools, limit);
         let distance = context.distance(&entry.zone);
         let leaving_since = entry.draining.then(|| context.clock.now());
         let listing = Listing {
@@ -258,21 +260,29 @@
 pub async fn close_unused(context: Arc<Context>) {
     loop {
         tokio::time::sleep(UNUSED_INTERVAL).await;
-        for group in context.all_groups() {
-            for server in group.servers() {
-                server.pool.close_unused(UNUSED_LIMIT);
-            }
-        }
+        context.open_pools.close_unused(UNUSED_LIMIT);
     }
 }
 
 /// Gives each pool this node's share anew.
 pub fn share_connections(context: &Context) {
     for group in context.all_groups() {
-        for server in group.servers() {
-            let zone = server.listing().entry.zone.clone();
-            let share = connection_share(context, &group.name, &zone);
-            server.pool.set_limit(share);
-        }
+        share_group(context, &group);
+    }
+}
+
+/// Gives the pools of these groups this node's share anew.
+pub fn share_connections_of(context: &Context, groups: &[String]) {
+    let groups = groups.iter().filter_map(|name| context.known_group(name));
+    for group in groups {
+        share_group(context, &group);
+    }
+}
+
+fn share_group(context: &Context, group: &Group) {
+    for server in group.servers() {
+        let zone = server.listing().entry.zone.clone();
+        let share = connection_share(context, &group.name, &zone);
+        server.pool.set_limit(share);
     }
 }
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -189,6 +189,8 @@
             promotions: parts.promotions,
             configuration: watch::Sender::new(None),
             groups: Mutex::default(),
+            visited: Mutex::default(),
+            open_pools: Arc::default(),
             links,
             store_lost: AtomicBool::new(false),
             store_regained_at: Mutex::default(),
