Decide until when servers of an evacuated zone may be used

Cause: the operator's bound begins when the store acknowledges the row, a moment that no node knows. A node counts from when the store last told of the rows without it, less what the store may hold back and the way. Ruled out: counting from the arrival of the news, which is later than the row by the wait for it.

--- a/crates/spurpier-core/src/places/mod.rs
+++ b/crates/spurpier-core/src/places/mod.rs
@@ -1,5 +1,7 @@
 //! Where work may run: regions, evacuated zones and servers that are cold.
 
+mod evacuation;
 mod regions;
 
+pub use self::evacuation::{EvacuationChanges, Evacuations, HELD_BACK, Phase, WAY_MARGIN};
 pub use self::regions::AllowedRegions;
