Send nothing more to the servers of an evacuated zone once its bound is near

Cause: the rows of evacuations were passed over as malformed, and one of them beside the configuration in one answer of the store hid the configuration, since the last row was taken for it. They are kept beside the configuration's rows now, with removals, and told between nodes. Each connection to a server asks its zone's gate before it sends, so that a statement that waited after its server was chosen, and the proxy's own, do not arrive late. Transactions that rest there are ended by closing their connections, for which nothing is sent. Ruled out: asking only where a server is chosen, since a statement may wait there for a connection, the session's values and the opening of its transaction. The table of the configuration is known within half of the evacuation's bound: where a configuration may take 6 s, its watchers ask the store every 1.9 s and not every 4.2 s (computed from the settings, not measured).

--- a/crates/spurpier-core/tests/evacuations.rs
+++ b/crates/spurpier-core/tests/evacuations.rs
@@ -196,7 +196,10 @@
 
     /// As a follower does: what is older than the known version is passed over.
     fn take(&mut self, told: Told) {
-        if self.known.is_some_and(|(version, _)| told.version < version) {
+        if self
+            .known
+            .is_some_and(|(version, _)| told.version < version)
+        {
             return;
         }
         let before = self.known.map(|(_, told_at)| at(told_at));
--- a/crates/spurpier-pipeline/src/configuration/mod.rs
+++ b/crates/spurpier-pipeline/src/configuration/mod.rs
@@ -142,8 +142,18 @@
 pub struct ConfigurationSink(pub Arc<Context>);
 
 impl ConfigurationSink {
+    /// Takes in what is known; evacuations first, so that a node which becomes ready knows them.
     fn put_known_into_force(&self) {
-        let rows = self.0.known_tables.rows(Table::Configuration);
+        let known = &self.0.known_tables;
+        let rows = known.rows(Table::Configuration);
+        let (evacuated, rows) = rows
+            .into_iter()
+            .partition::<Vec<Row>, _>(rows::is_evacuated);
+        self.0.places.evacuations.take(
+            &rows::evacuated_zones(&evacuated),
+            known.version(Table::Configuration),
+            known.told_before(Table::Configuration),
+        );
         if rows.is_empty() {
             return;
         }
@@ -170,13 +180,36 @@
         true
     }
 
-    /// The store's row tells the whole configuration; one that cannot be read tells nothing new.
-    fn whole_table(&self, told: &[Row]) -> Option<Vec<Row>> {
-        let told = told.iter().rfind(|row| !row.gone)?;
+    /// The store's row of the configuration tells all of it; evacuations are told one by one.
+    fn whole_table(&self, told: &[Row], is_whole: bool) -> Option<Vec<Row>> {
+        if told.is_empty() && !is_whole {
+            return None;
+        }
         let known = self.0.known_tables.rows(Table::Configuration);
+        let (evacuated, known) = known
+            .into_iter()
+            .partition::<Vec<Row>, _>(rows::is_evacuated);
+        let entries = &self.0.entries;
+        let zone_of = |row: &Row| entries.evacuated_zone(row);
+        let mut rows = rows::evacuated_rows(told, is_whole, &evacuated, zone_of);
+        let mut configurations = told.iter().filter(|row| zone_of(row).is_none());
+        let configuration = configurations.rfind(|row| !row.gone);
+        rows.extend(match configuration {
+            Some(told) => self.configuration_rows(told, known),
+            None => known,
+        });
+        rows.sort_by(|one, other| one.key.cmp(&other.key));
+        Some(rows)
+    }
+}
+
+impl ConfigurationSink {
+    /// The rows of the configuration that the store has told; one that cannot be read or has faults
+    /// tells nothing new.
+    fn configuration_rows(&self, told: &Row, known: Vec<Row>) -> Vec<Row> {
         let Some(configuration) = self.0.entries.configuration(told) else {
             log_malformed(&told.key);
-            return Some(known);
+            return known;
         };
         let findings = check::check_tenants(&configuration);
         if !findings.is_empty() {
@@ -184,9 +217,9 @@
                 .metrics
                 .note_refused_configuration(configuration.version);
             log_refused(configuration.version, &findings);
-            return Some(known);
+            return known;
         }
-        Some(rows::split(&configuration, told.version, &known))
+        rows::split(&configuration, told.version, &known)
     }
 }
 
--- a/crates/spurpier-pipeline/src/configuration/rows.rs
+++ b/crates/spurpier-pipeline/src/configuration/rows.rs
@@ -1,10 +1,12 @@
 //! The configuration as the rows by which nodes tell each other of it.
 //!
-//! The store keeps the configuration in one row, which changes whole. Among nodes it is one row a
-//! route, and one for all else, so that only the routes that a change concerns travel: a change of
+//! The store keeps the configuration in one row, which changes whole, and one row for each zone that
+//! is evacuated. Among nodes it is one row a route, a tenant and an evacuated zone, and one for all else, so that only the routes that a change concerns travel: a change of
 //! two of 1,400 routes sent 263 KB before, and sends 187 bytes (counted at the sender's link in
 //! `large_configuration`).
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use bytes::Bytes;
 use nanoserde::{DeBin, SerBin};
 use spurpier_core::places::AllowedRegions;
@@ -18,6 +20,8 @@
 const ROUTE_PREFIX: &str = "route/";
 /// What stands before a tenant's name in the key of its row.
 const TENANT_PREFIX: &str = "tenant/";
+/// What stands before the name of an evacuated zone in the key of its row, which has no value.
+const EVACUATED_PREFIX: &str = "evacuated/";
 /// The key of the row with all that is neither a route nor a tenant.
 const SETTINGS_KEY: &str = "settings";
 
@@ -122,7 +126,7 @@
     }
 }
 
-/// The configuration of its rows.
+/// The configuration of its rows, those of evacuated zones aside.
 ///
 /// # Errors
 ///
@@ -150,6 +154,52 @@
     })
 }
 
+/// The rows of evacuated zones after the store has told of its rows: of all of them if `is_whole`,
+/// else of those that have changed. `known` are those from before; `zone_of` reads the zone of a row
+/// of the store.
+pub fn evacuated_rows(
+    told: &[Row],
+    is_whole: bool,
+    known: &[Row],
+    zone_of: impl Fn(&Row) -> Option<String>,
+) -> Vec<Row> {
+    let kept = known.iter().filter(|_| !is_whole).cloned();
+    let mut rows: BTreeMap<String, Row> = kept.map(|row| (row.key.clone(), row)).collect();
+    for row in told {
+        let Some(zone) = zone_of(row) else {
+            continue;
+        };
+        let key = format!("{EVACUATED_PREFIX}{zone}");
+        if row.gone {
+            rows.remove(&key);
+            continue;
+        }
+        let known = known.iter().find(|known| known.key == key);
+        let version = known.map_or(row.version, |known| known.version);
+        let evacuated = Row {
+            key: key.clone(),
+            value: Bytes::new(),
+            version,
+            gone: false,
+        };
+        rows.insert(key, evacuated);
+    }
+    rows.into_values().collect()
+}
+
+/// Whether a row is that of an evacuated zone.
+pub fn is_evacuated(row: &Row) -> bool {
+    row.key.starts_with(EVACUATED_PREFIX)
+}
+
+/// The evacuated zones that rows tell of.
+pub fn evacuated_zones(rows: &[Row]) -> BTreeSet<String> {
+    let names = rows
+        .iter()
+        .filter_map(|row| row.key.strip_prefix(EVACUATED_PREFIX));
+    names.map(str::to_owned).collect()
+}
+
 fn route(row: &Row) -> Option<Route> {
     let database = row.key.strip_prefix(ROUTE_PREFIX)?;
     let value = RouteRow::deserialize_bin(&row.value).ok()?;
--- a/crates/spurpier-pipeline/src/directory.rs
+++ b/crates/spurpier-pipeline/src/directory.rs
@@ -57,6 +57,7 @@
             address: entry.address,
             group: entry.group.clone(),
             instance: entry.instance.clone(),
+            gate: context.places.evacuations.gate(&entry.zone),
         };
         let dialect = Arc::clone(&context.server_dialect);
         let limit = connection_share(context, &group.name, &entry.zone);
--- a/crates/spurpier-pipeline/src/events.rs
+++ b/crates/spurpier-pipeline/src/events.rs
@@ -19,6 +19,11 @@
     LEAD_FOUND = 6022, "lead_found", Info, "a server has proved that it leads its group", "none";
     LEAD_LOST = 6023, "lead_lost", Warn, "the server that led a group refuses the lead", "none if planned";
     SERVER_SILENT = 6024, "server_silent", Warn, "a server does not answer", "see the server and the way to it";
+    ZONE_EVACUATED = 6025, "zone_evacuated", Info, "the operator has a zone evacuated: its servers are used only for what no other can run, and for nothing after closes_in_ms", "none; take the row away when the zone is to be used again";
+    ZONE_CLOSED = 6026, "zone_closed", Info, "nothing more is sent to the servers of an evacuated zone; transactions that rested there were ended", "none";
+    ZONE_TAKEN_BACK = 6027, "zone_taken_back", Info, "a zone is not evacuated any more, and its servers are used again", "none";
+    EVACUATED_PRIMARY = 6028, "evacuated_primary", Warn, "a group's primary still stands in an evacuated zone to which nothing more is sent: what needs it is refused", "see why no server elsewhere could take over; take the row away to serve again";
+    HEIR_INCOMPLETE = 6029, "heir_incomplete", Warn, "a primary has left an evacuated zone's use, and the server that is to take over may lack commits: it is awaited", "see why the replicas receive nothing";
     REQUEST_NOT_RUN = 6030, "request_not_run", Info, "a statement was refused and has not run", "none if rare; the reason tells what was missing";
     REQUEST_UNKNOWN = 6031, "request_unknown", Warn, "whether a statement ran cannot be told", "look for the lost server or the lost answer at that time";
     REQUEST_RETRIED = 6032, "request_retried", Info, "a statement is tried again", "none if rare";
--- a/crates/spurpier-pipeline/src/follow/mod.rs
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -55,9 +55,10 @@
     /// Takes in rows that have changed or are gone, in the order of their changes.
     fn change(&mut self, rows: &[Row]);
 
-    /// All rows under which nodes tell each other of the table, if what the store has `told` is
-    /// the whole of it in another form; none if the store's rows are those of the nodes.
-    fn whole_table(&self, _told: &[Row]) -> Option<Vec<Row>> {
+    /// All rows under which nodes tell each other of the table, after the store has `told` of its
+    /// rows: of all of them if `is_whole`, else of those that have changed. None if nothing has, or if
+    /// the store's rows are those of the nodes.
+    fn whole_table(&self, _told: &[Row], _is_whole: bool) -> Option<Vec<Row>> {
         None
     }
 
@@ -254,7 +255,7 @@
             Some(Ok(read)) => {
                 self.note_answer();
                 let told_at = self.moment_of(&read, asked_at);
-                let rows = self.sink.whole_table(&read.rows).unwrap_or(read.rows);
+                let rows = self.sink.whole_table(&read.rows, true).unwrap_or(read.rows);
                 self.take_all(&rows, read.version, told_at);
                 return;
             }
@@ -285,7 +286,7 @@
             Some(Ok(changes)) => {
                 self.note_answer();
                 let told_at = self.moment_of(&changes, asked_at);
-                match self.sink.whole_table(&changes.rows) {
+                match self.sink.whole_table(&changes.rows, false) {
                     Some(rows) => self.take_all(&rows, changes.version, told_at),
                     None => self.take_changes(&changes.rows, changes.version, told_at),
                 }
--- a/crates/spurpier-pipeline/src/follow/patience.rs
+++ b/crates/spurpier-pipeline/src/follow/patience.rs
@@ -34,10 +34,15 @@
 
 impl Patience {
     /// The limits of a table: a configuration is known within four fifths of the time within which
-    /// it must be in force.
+    /// it must be in force. Evacuations stand beside it: they are known within half of their bound,
+    /// so that a primary can be replaced in the rest.
     pub fn of(table: Table, bounds: &BoundSettings) -> Self {
         let known_within = match table {
-            Table::Configuration => Duration::from_millis(bounds.configuration_apply_ms) * 4 / 5,
+            Table::Configuration => {
+                let applied = Duration::from_millis(bounds.configuration_apply_ms) * 4 / 5;
+                let evacuated = Duration::from_millis(bounds.evacuation_ms) / 2;
+                applied.min(evacuated)
+            }
             Table::Servers | Table::Cluster | Table::Duty => ALWAYS_KNOWN,
         };
         let wait = known_within.saturating_sub(CHANGES_SLACK);
--- a/crates/spurpier-pipeline/src/known_tables.rs
+++ b/crates/spurpier-pipeline/src/known_tables.rs
@@ -106,6 +106,8 @@
     version: u64,
     /// When the store last told of it, on this node's clock; none before it did.
     told_at: Option<Timestamp>,
+    /// The same before the last news of it.
+    told_before: Option<Timestamp>,
     /// The version of the newest change up to that version.
     changed_at: u64,
     /// The last removed rows, oldest first.
@@ -238,6 +240,7 @@
     pub fn replace(&self, table: Table, rows: &[Row], version: u64, told_at: Timestamp) {
         self.update(table, |known| {
             known.replace_rows(rows, version);
+            known.told_before = known.told_at;
             known.told_at = known.told_at.max(Some(told_at));
             known.version = known.version.max(version);
         });
@@ -251,6 +254,7 @@
                 known.changed_at = known.changed_at.max(row.version);
             }
             known.version = known.version.max(version);
+            known.told_before = known.told_at;
             known.told_at = known.told_at.max(Some(told_at));
         });
     }
@@ -280,6 +284,13 @@
         self.lock()[usize::from(number)].told_at
     }
 
+    /// Up to when the store had told of a table before its last news, on this node's clock: what is
+    /// new in these was written no earlier, but for what the store held back. None before it did.
+    pub fn told_before(&self, table: Table) -> Option<Timestamp> {
+        let number = table_number(table)?;
+        self.lock()[usize::from(number)].told_before
+    }
+
     fn update(&self, table: Table, change: impl FnOnce(&mut KnownTable)) {
         let Some(number) = table_number(table) else {
             return;
--- a/crates/spurpier-pipeline/src/metrics.rs
+++ b/crates/spurpier-pipeline/src/metrics.rs
@@ -90,6 +90,7 @@
     leave_questions: Counter,
     proof_ages: Family<GroupLabels, Gauge>,
     homes: Family<GroupLabels, Gauge>,
+    evacuated_zones: Gauge,
     configuration: Gauge,
     refused_configuration: Gauge,
     missed_news: Family<Kind, Counter>,
@@ -117,6 +118,7 @@
             leave_questions: Counter::default(),
             proof_ages: Family::default(),
             homes: Family::default(),
+            evacuated_zones: Gauge::default(),
             configuration: Gauge::default(),
             refused_configuration: Gauge::default(),
             missed_news: Family::default(),
@@ -152,6 +154,8 @@
         registry.register("proof_age_ms", text, self.proof_ages.clone());
         let text = "Homes of a group, this node among them if it is one";
         registry.register("homes", text, self.homes.clone());
+        let text = "Zones that are evacuated, as far as is known";
+        registry.register("evacuated_zones", text, self.evacuated_zones.clone());
         let text = "Version of the configuration in force; 0 before the first";
         registry.register("configuration_version", text, self.configuration.clone());
         let text = "Version of the newest configuration that was refused for its faults";
@@ -230,6 +234,8 @@
             .map_or(0, |known| known.configuration.version);
         self.configuration
             .set(i64::try_from(version).unwrap_or(i64::MAX));
+        let evacuated = context.places.evacuations.zones().len();
+        self.evacuated_zones.set(as_gauge(evacuated));
         self.set_table_ages(context);
         // Servers and groups that are gone are not told any more.
         self.connections.clear();
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -29,7 +29,7 @@
 use crate::log_budget::LogBudget;
 use crate::membership::{ClusterSink, keep_listed, list_leaving, unlist_lost, unlist_self};
 use crate::metrics::Metrics;
-use crate::places::Places;
+use crate::places::{Places, close_evacuated};
 use crate::ports::{
     ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
 };
@@ -178,7 +178,7 @@
         let context = Context {
             retry_budget: Mutex::new(RetryBudget::new(RETRY_BUDGET, clock.now())),
             homes: Homes::new(&parts.settings),
-            places: Places::new(&parts.settings),
+            places: Places::new(&parts.settings, &clock),
             quotas: Quotas::new(&parts.settings.bounds),
             settings: parts.settings,
             clock,
@@ -219,6 +219,7 @@
     tokio::spawn(forget_gone(shared()));
     tokio::spawn(share_after_start(shared()));
     tokio::spawn(close_unused(shared()));
+    tokio::spawn(close_evacuated(shared()));
     tokio::spawn(keep_listed(shared()));
     start_seats(context);
 }
--- /dev/null
+++ b/crates/spurpier-pipeline/src/places/evacuations.rs
@@ -0,0 +1,114 @@
+//! The evacuated zones as this node follows them, and the gates in front of zones.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use spurpier_core::places::Evacuations;
+use spurpier_core::time::Timestamp;
+use spurpier_events::log_event;
+use tokio::sync::watch;
+
+use super::gate::ZoneGate;
+use crate::clock::Clock;
+use crate::events;
+
+#[derive(Debug)]
+struct Inner {
+    known: Evacuations,
+    gates: BTreeMap<String, Arc<ZoneGate>>,
+}
+
+/// The evacuated zones as this node follows them.
+#[derive(Debug)]
+pub struct FollowedEvacuations {
+    clock: Clock,
+    inner: Mutex<Inner>,
+    changed: watch::Sender<u64>,
+}
+
+impl FollowedEvacuations {
+    /// Nothing is known; nothing may arrive later than `bound` after an evacuation's row.
+    pub fn new(bound: Duration, clock: Clock) -> Self {
+        FollowedEvacuations {
+            clock,
+            inner: Mutex::new(Inner {
+                known: Evacuations::new(bound),
+                gates: BTreeMap::new(),
+            }),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    /// Takes in which zones are evacuated as of a version of the store; `told_before` is up to when
+    /// it had told of the rows as they were known before.
+    pub fn take(&self, zones: &BTreeSet<String>, version: u64, told_before: Option<Timestamp>) {
+        let mut inner = self.lock();
+        let changes = inner.known.take(zones, version, told_before);
+        if changes.is_empty() {
+            return;
+        }
+        for zone in changes.evacuated.iter().chain(&changes.taken_back) {
+            let closes_at = inner.known.closes_at(zone);
+            inner.gate(zone, &self.clock).set(closes_at);
+        }
+        for zone in &changes.evacuated {
+            let closes_at = inner.known.closes_at(zone).unwrap_or_default();
+            log_event!(
+                events::ZONE_EVACUATED,
+                zone = zone,
+                closes_in_ms = closes_at.since(self.clock.now()).as_millis()
+            );
+        }
+        for zone in &changes.taken_back {
+            log_event!(events::ZONE_TAKEN_BACK, zone = zone, version = version);
+        }
+        drop(inner);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// The gate in front of a zone's servers.
+    pub fn gate(&self, zone: &str) -> Arc<ZoneGate> {
+        self.lock().gate(zone, &self.clock)
+    }
+
+    /// The store's version up to which the servers' table must be known before a server of a zone
+    /// is used that may have turned cold; none while nothing is known of evacuations.
+    ///
+    /// An entry from before the zone was taken back may tell of a server that has turned cold since
+    /// that it is warm.
+    #[expect(dead_code, reason = "cold servers are not counted yet")]
+    pub fn taken_back_at(&self, zone: &str) -> Option<u64> {
+        self.lock().known.taken_back_at(zone)
+    }
+
+    /// The evacuated zones, and from when on nothing more may be sent to each.
+    pub fn zones(&self) -> Vec<(String, Timestamp)> {
+        let inner = self.lock();
+        let zones = inner.known.zones();
+        zones
+            .map(|(zone, closes_at)| (zone.to_owned(), closes_at))
+            .collect()
+    }
+
+    /// A receiver that is told of changes.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn gate(&mut self, zone: &str, clock: &Clock) -> Arc<ZoneGate> {
+        if let Some(gate) = self.gates.get(zone) {
+            return Arc::clone(gate);
+        }
+        let gate = Arc::new(ZoneGate::new(clock.clone()));
+        gate.set(self.known.closes_at(zone));
+        self.gates.insert(zone.to_owned(), Arc::clone(&gate));
+        gate
+    }
+}
--- /dev/null
+++ b/crates/spurpier-pipeline/src/places/gate.rs
@@ -0,0 +1,61 @@
+//! What may be sent to the servers of one zone, as each of their connections asks before it sends.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use spurpier_core::places::Phase;
+use spurpier_core::time::Timestamp;
+
+use crate::clock::Clock;
+
+/// The closing of a zone that is not evacuated.
+const NEVER: u64 = u64::MAX;
+
+/// The gate in front of a zone's servers.
+///
+/// A statement may wait between the choice of a server and its sending: for a connection, for the
+/// session's values, for a transaction to be opened. So the gate is asked at the sending.
+#[derive(Debug)]
+pub struct ZoneGate {
+    clock: Clock,
+    /// When it closes, in microseconds of the clock.
+    closes_at: AtomicU64,
+}
+
+impl ZoneGate {
+    /// An open gate.
+    pub fn new(clock: Clock) -> Self {
+        ZoneGate {
+            clock,
+            closes_at: AtomicU64::new(NEVER),
+        }
+    }
+
+    /// Takes in from when on nothing may be sent; none if the zone is not evacuated.
+    pub fn set(&self, closes_at: Option<Timestamp>) {
+        let closes_at = closes_at.map_or(NEVER, Timestamp::as_micros);
+        self.closes_at.store(closes_at, Ordering::Relaxed);
+    }
+
+    /// For how long something may still be sent; none if the zone is not evacuated.
+    pub fn closes_in(&self) -> Option<Duration> {
+        match self.closes_at.load(Ordering::Relaxed) {
+            NEVER => None,
+            closes_at => Some(Timestamp::from_micros(closes_at).since(self.clock.now())),
+        }
+    }
+
+    /// What may be sent now.
+    pub fn phase(&self) -> Phase {
+        match self.closes_in() {
+            None => Phase::Open,
+            Some(Duration::ZERO) => Phase::Closed,
+            Some(_) => Phase::Leaving,
+        }
+    }
+
+    /// Whether nothing may be sent now.
+    pub fn is_closed(&self) -> bool {
+        self.phase() == Phase::Closed
+    }
+}
--- a/crates/spurpier-pipeline/src/places/mod.rs
+++ b/crates/spurpier-pipeline/src/places/mod.rs
@@ -3,15 +3,24 @@
 //! Every choice of a server or a home asks here, at each hop: the first choice, a unit that is
 //! handed on, a further attempt, and a transaction's next statement.
 
+mod closing;
+mod evacuations;
+mod gate;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use spurpier_core::places::AllowedRegions;
 use spurpier_core::time::Timestamp;
 
+pub use self::closing::close_evacuated;
+pub use self::evacuations::FollowedEvacuations;
+pub use self::gate::ZoneGate;
+use crate::clock::Clock;
 use crate::group::Group;
 use crate::server::Server;
 use crate::settings::PipelineSettings;
+use crate::unit::OpenTransactions;
 
 /// When a client should come back that no allowed server can serve: the primary may be moved, or
 /// the configuration changed.
@@ -28,7 +37,6 @@
     /// It stands in a region that the route or the tenant does not allow.
     Region,
     /// Its zone is evacuated.
-    #[expect(dead_code, reason = "evacuations are not followed yet")]
     Evacuated,
     /// It is cold and takes no more for now.
     #[expect(dead_code, reason = "cold servers are not counted yet")]
@@ -60,6 +68,8 @@
 pub enum MoveReason {
     /// It is about to end.
     Leaving,
+    /// Its zone is evacuated.
+    Evacuated,
 }
 
 /// What this node knows of places.
@@ -67,13 +77,20 @@
 pub struct Places {
     /// The region of each zone.
     regions: BTreeMap<String, String>,
+    /// The zones that are evacuated.
+    pub evacuations: FollowedEvacuations,
+    /// The transactions that stand open on this node's connections.
+    pub open_transactions: OpenTransactions,
 }
 
 impl Places {
     /// The places of these settings.
-    pub fn new(settings: &PipelineSettings) -> Self {
+    pub fn new(settings: &PipelineSettings, clock: &Clock) -> Self {
+        let bound = Duration::from_millis(settings.bounds.evacuation_ms);
         Places {
             regions: settings.zones.clone(),
+            evacuations: FollowedEvacuations::new(bound, clock.clone()),
+            open_transactions: OpenTransactions::default(),
         }
     }
 
@@ -108,11 +125,10 @@
     }
 
     fn bar(&self, allowed: &AllowedRegions, server: &Server, _now: Timestamp) -> Option<Bar> {
-        if allowed.is_anywhere() {
-            return None;
+        if !allowed.is_anywhere() && !self.allows(allowed, &server.listing().entry.zone) {
+            return Some(Bar::Region);
         }
-        let is_allowed = self.allows(allowed, &server.listing().entry.zone);
-        (!is_allowed).then_some(Bar::Region)
+        server.pool.gate().is_closed().then_some(Bar::Evacuated)
     }
 
     /// Why a group's primary, which serves, is to be replaced; none if it is to stay.
@@ -122,12 +138,15 @@
         lead: &Server,
         _now: Timestamp,
     ) -> Option<MoveReason> {
-        (!lead.is_staying()).then_some(MoveReason::Leaving)
+        if !lead.is_staying() {
+            return Some(MoveReason::Leaving);
+        }
+        lead.is_evacuated().then_some(MoveReason::Evacuated)
     }
 
     /// Whether a server may become its group's primary at all, as far as places tell.
-    pub fn may_succeed(&self, _server: &Server, _now: Timestamp) -> bool {
-        true
+    pub fn may_succeed(&self, server: &Server, _now: Timestamp) -> bool {
+        !server.is_evacuated()
     }
 
     /// How well a server's place fits as that of its group's primary; the greater one goes first
--- a/crates/spurpier-pipeline/src/ports/directory.rs
+++ b/crates/spurpier-pipeline/src/ports/directory.rs
@@ -54,6 +54,9 @@
     /// Reads a server's row; none if it is malformed.
     fn server(&self, row: &Row) -> Option<ServerEntry>;
 
+    /// The zone whose evacuation a row asks for, also one that is gone; none if it is another row.
+    fn evacuated_zone(&self, row: &Row) -> Option<String>;
+
     /// Reads the row of the configuration; none if it is malformed or another row.
     fn configuration(&self, row: &Row) -> Option<Configuration>;
 }
--- a/crates/spurpier-pipeline/src/server/connection.rs
+++ b/crates/spurpier-pipeline/src/server/connection.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 
 use super::pool::Target;
+use crate::places::ZoneGate;
 use crate::ports::{
     Answer, Completion, ErrorClass, ServerDialect, ServerError, ServerMessage, ServerRequest,
     TransactionState,
@@ -33,12 +34,14 @@
     Unreachable,
     /// The server refused.
     Refused(ErrorClass),
+    /// Nothing may be sent to its zone.
+    Closed,
 }
 
 /// Why an exchange gave no answer; the connection is of no more use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExchangeError {
-    /// The connection was found closed before anything was sent.
+    /// Nothing was sent: the connection was found closed, or nothing may be sent to its zone.
     NotSent,
     /// The statement may have run.
     Unclear,
@@ -47,7 +50,7 @@
 impl fmt::Display for ExchangeError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
-            ExchangeError::NotSent => "the connection was closed before the statement was sent",
+            ExchangeError::NotSent => "nothing was sent",
             ExchangeError::Unclear => "the connection broke and the statement may have run",
         })
     }
@@ -58,6 +61,7 @@
 pub struct ServerConnection {
     stream: TcpStream,
     dialect: Arc<dyn ServerDialect>,
+    gate: Arc<ZoneGate>,
     input: BytesMut,
     output: BytesMut,
     /// Answers of the proxy's own statements that have not been read yet.
@@ -84,12 +88,16 @@
         dialect: Arc<dyn ServerDialect>,
         caller: &str,
     ) -> Result<Self, OpenError> {
+        if target.gate.is_closed() {
+            return Err(OpenError::Closed);
+        }
         let stream = TcpStream::connect(target.address).await;
         let stream = stream.map_err(|_| OpenError::Unreachable)?;
         prepare_socket(&stream).map_err(|_| OpenError::Unreachable)?;
         let mut connection = ServerConnection {
             stream,
             dialect,
+            gate: Arc::clone(&target.gate),
             input: BytesMut::new(),
             output: BytesMut::new(),
             unread: 0,
@@ -110,6 +118,9 @@
             caller: &self.caller,
             instance: &target.instance,
         };
+        if self.gate.is_closed() {
+            return Err(OpenError::Closed);
+        }
         self.dialect.encode(&request, &mut self.output);
         self.flush().await.map_err(|_| OpenError::Unreachable)?;
         loop {
@@ -173,6 +184,10 @@
     /// [`ExchangeError`].
     pub async fn roll_back(&mut self) -> Result<(), ExchangeError> {
         self.busy = true;
+        if self.gate.is_closed() {
+            // A connection that is busy is closed, which drops the transaction too.
+            return Err(ExchangeError::NotSent);
+        }
         self.queue_rollback();
         let sent = self.flush().await;
         sent.map_err(|_| ExchangeError::Unclear)?;
@@ -192,7 +207,7 @@
         request: &ServerRequest<'_>,
         behind: Option<ServerRequest<'static>>,
     ) -> Result<Answer, ExchangeError> {
-        if !self.is_alive() {
+        if self.gate.is_closed() || !self.is_alive() {
             self.busy = true;
             return Err(ExchangeError::NotSent);
         }
--- a/crates/spurpier-pipeline/src/server/mod.rs
+++ b/crates/spurpier-pipeline/src/server/mod.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use spurpier_core::lead::{Distance, ServerLoad};
+use spurpier_core::places::Phase;
 use spurpier_core::time::Timestamp;
 
 pub use self::connection::{ExchangeError, OpenError, ServerConnection, Values};
@@ -82,6 +83,11 @@
         self.listing().is_staying(self.clock.now())
     }
 
+    /// Whether its zone is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.pool.gate().phase() != Phase::Open
+    }
+
     /// Whether the directory has dropped it.
     pub fn is_gone(&self) -> bool {
         let listing = self.listing();
@@ -123,8 +129,11 @@
         self.health().note_answer(sent_at);
     }
 
-    /// Takes in that it did not answer.
+    /// Takes in that it did not answer. Once nothing may be sent to its zone, that says nothing of it.
     pub fn note_silence(&self, clock: &Clock) {
+        if self.pool.gate().is_closed() {
+            return;
+        }
         let silences = {
             let mut health = self.health();
             health.note_silence(clock.now());
--- a/crates/spurpier-pipeline/src/server/pool/mod.rs
+++ b/crates/spurpier-pipeline/src/server/pool/mod.rs
@@ -20,6 +20,7 @@
 use self::opening::Opening;
 use super::connection::{OpenError, ServerConnection, Values};
 use crate::clock::Clock;
+use crate::places::ZoneGate;
 use crate::ports::{ErrorClass, ServerDialect};
 use crate::tenant::UNNAMED_CALLER;
 
@@ -44,6 +45,8 @@
     pub group: String,
     /// Its name.
     pub instance: String,
+    /// The gate in front of its zone.
+    pub gate: Arc<ZoneGate>,
 }
 
 /// What a unit needs of a connection.
@@ -157,6 +160,11 @@
         })
     }
 
+    /// The gate in front of the server's zone.
+    pub fn gate(&self) -> &ZoneGate {
+        &self.target.gate
+    }
+
     /// Whether units wait for connections although as many as allowed are open.
     pub fn is_crowded(&self) -> bool {
         let inner = self.lock();
@@ -322,7 +330,7 @@
     fn give_back(&self, connection: ServerConnection) {
         let surplus = {
             let mut inner = self.lock();
-            if inner.total > inner.limit {
+            if inner.total > inner.limit || self.gate().is_closed() {
                 inner.total -= 1;
                 Some(connection)
             } else {
--- a/crates/spurpier-pipeline/src/unit/lead.rs
+++ b/crates/spurpier-pipeline/src/unit/lead.rs
@@ -57,6 +57,8 @@
                     tokio::time::sleep(REFUSAL_PAUSE).await;
                     missing = NotRun::NoConnection;
                 }
+                // The next look finds it barred.
+                Err(AcquireError::Open(OpenError::Closed)) => continue,
                 Err(AcquireError::Open(_)) => {
                     server.note_silence(clock);
                     group.note_denial(&server, clock.now());
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -6,6 +6,7 @@
 //! answer outstanding is never used for another session.
 
 mod attempt;
+mod held;
 mod lead;
 mod read;
 mod times;
@@ -23,6 +24,7 @@
 use spurpier_events::{Event, log_event};
 
 pub use self::attempt::{Place, own_attempt};
+pub use self::held::OpenTransactions;
 pub use self::lead::renew_proof;
 pub use self::times::Times;
 pub use self::transaction::OpenTransaction;
--- a/crates/spurpier-pipeline/src/unit/read.rs
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -19,6 +19,8 @@
 const ATTEMPTS: usize = 4;
 /// A proof older than this share of the allowed staleness is renewed ahead of need.
 const RENEW_AHEAD: u32 = 2;
+/// Until when a server of an evacuated zone is tried only after all others.
+const NO_END: Timestamp = Timestamp::from_micros(u64::MAX);
 
 impl Unit {
     /// Runs a read.
@@ -172,6 +174,11 @@
                 let load = server.load(leads(server));
                 ServerLoad {
                     takes_reads: load.takes_reads && self.bar_to_read(server, now).is_none(),
+                    avoided_until: if server.is_evacuated() {
+                        NO_END
+                    } else {
+                        load.avoided_until
+                    },
                     ..load
                 }
             })
@@ -266,6 +273,7 @@
             Err(AcquireError::Open(OpenError::Refused(class))) => {
                 Err(self.note_refusal(&server, class))
             }
+            Err(AcquireError::Open(OpenError::Closed)) => Err(NotRun::Barred(Bar::Evacuated)),
             Err(AcquireError::Open(OpenError::Unreachable)) => {
                 server.note_silence(clock);
                 Err(NotRun::ServerBusy)
--- a/crates/spurpier-pipeline/src/unit/transaction.rs
+++ b/crates/spurpier-pipeline/src/unit/transaction.rs
@@ -6,9 +6,11 @@
 use spurpier_core::time::Timestamp;
 
 use super::attempt::{Answered, Failure, Manner, Place};
+use super::held::HeldPlace;
 use super::read::after;
 use super::work::Work;
 use super::{Done, NotRun, Unit};
+use crate::places::Bar;
 use crate::ports::{Answer, ErrorClass, TransactionState};
 
 /// Servers that the opening of a read-only transaction tries.
@@ -18,8 +20,10 @@
 pub struct OpenTransaction {
     /// The unit that opened it.
     pub unit: Unit,
-    /// Its connection; none after it was given up, when only its end is taken.
-    place: Option<Place>,
+    /// Its connection; gone without a word if nothing more may be sent to its zone.
+    place: HeldPlace,
+    /// Whether it was given up, and only its end is taken.
+    given_up: bool,
     /// Whether the server holds it as failed.
     failed: bool,
     read_only: bool,
@@ -37,9 +41,11 @@
         };
         match opened {
             Ok(place) => {
+                let open = &unit.context.places.open_transactions;
                 let transaction = OpenTransaction {
+                    place: open.hold(place),
                     unit,
-                    place: Some(place),
+                    given_up: false,
                     failed: false,
                     read_only,
                     wrote: false,
@@ -52,7 +58,7 @@
 
     /// The state that the client is told.
     pub fn state(&self) -> TransactionState {
-        if self.failed || self.place.is_none() {
+        if self.failed || self.given_up {
             TransactionState::Failed
         } else {
             TransactionState::Open
@@ -61,8 +67,12 @@
 
     /// Runs a statement, at most until the unit's time is over.
     pub async fn run(&mut self, work: &Work, writes: bool) -> Answer {
-        let Some(place) = self.place.take() else {
+        if self.given_up {
             return Answer::error(ErrorClass::Malformed, "failed", TransactionState::Failed);
+        }
+        let Some(place) = self.place.take() else {
+            self.given_up = true;
+            return self.evacuated(work);
         };
         let server = Arc::clone(&place.server);
         let give_up = self.unit.times.give_up;
@@ -78,7 +88,7 @@
                 answer
             }
             Err(failure) => {
-                self.failed = true;
+                self.given_up = true;
                 let why = format!("{failure:?}");
                 self.unit.abort(&work.id, &server.instance, &why)
             }
@@ -88,16 +98,27 @@
     fn take_answer(&mut self, place: Option<Place>, answer: &Answer, writes: bool) {
         self.wrote |= writes && answer.outcome.is_ok();
         self.failed = answer.state != TransactionState::Open;
-        self.place = place;
+        self.given_up = place.is_none();
+        self.place.put_back(place);
+    }
+
+    /// The answer in a transaction whose connection was closed with its server's zone.
+    fn evacuated(&self, work: &Work) -> Answer {
+        self.unit.abort(&work.id, "", Bar::Evacuated.text())
     }
 
     /// Commits.
-    pub async fn commit(mut self, work: &Work) -> Done {
-        let Some(place) = self.place.take_if(|_| !self.failed) else {
+    pub async fn commit(self, work: &Work) -> Done {
+        if self.failed || self.given_up {
             self.roll_back().await;
             let text = "the transaction had failed";
             let answer = Answer::error(ErrorClass::Aborted, text, TransactionState::Idle);
             return Done::answer(answer);
+        }
+        let Some(place) = self.place.take() else {
+            let mut answer = self.evacuated(work);
+            answer.state = TransactionState::Idle;
+            return Done::answer(answer);
         };
         let server = Arc::clone(&place.server);
         let unit = &self.unit;
@@ -142,6 +163,7 @@
 
     /// Gives the connection up: the server drops the transaction, and only its end is taken.
     pub async fn expire(&mut self) {
+        self.given_up = true;
         if let Some(mut place) = self.place.take()
             && let Ok(connection) = place.connection()
         {
