Move primaries out of evacuated zones without losing a commit

Cause: a primary that stands in an evacuated zone has to be replaced within the bound, and its server lives on: unlike that of a primary that leaves, its commits may not be given up. It steps down once its heir receives what it has, or a second before its zone is closed, so that what the heir must have received is known. No server is ordered to lead that lacks it; the group is refused until then. A node that made the primary step down itself, and whose decision is the last one, waits neither for other nodes' leases nor for their sight of the primary: with one of two nodes killed, the group was without a lead for over 20 s after its zone was taken back (log of the test's nodes). Ruled out: ordering the replica that has most, which loses what it lacks.

--- /dev/null
+++ b/crates/spurpier-pipeline/src/duty/evacuation.rs
@@ -0,0 +1,209 @@
+//! What replacing a primary of an evacuated zone adds: its server lives on, so that no acknowledged
+//! commit may be lost for it, and once the zone is closed it cannot be asked any more.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use spurpier_core::places::Phase;
+use spurpier_core::position::Position;
+use spurpier_events::log_event;
+
+use super::holder::KnownDuty;
+use super::successor::{SteppedDown, await_position, status_of};
+use super::watch::{Case, UNDECIDED_PAUSE};
+use crate::events;
+use crate::ports::ServerRole;
+use crate::server::Server;
+
+/// How long an heir may take to receive what an evacuated primary has, before that one steps down.
+/// Replicas are 8 to 60 ms behind.
+const RECEIVING_LIMIT: Duration = Duration::from_millis(300);
+/// How long before its zone is closed an evacuated primary steps down although its heir receives
+/// nothing: what it has must be asked while it can be, so that the heir may lead once it has received
+/// that. Looks of a case are half a second apart, and stepping down takes a write to the store.
+const LAST_STEP_DOWN: Duration = Duration::from_millis(1_000);
+
+/// That a primary of an evacuated zone has stepped down.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct KnownStepDown {
+    /// What it had received.
+    position: Position,
+    /// The token of the decision under which this node made it step down, as long as no server has
+    /// been ordered to lead since.
+    unordered: Option<u64>,
+}
+
+/// Whether a server is lost, as far as was seen while it could be asked.
+pub fn is_lost(server: &Server) -> bool {
+    server.is_gone() || server.health().is_silent()
+}
+
+impl Case {
+    /// The server that this node would use as the lead.
+    pub(super) fn candidate(&self) -> Option<Arc<Server>> {
+        let context = &self.context;
+        let (now, leaving_use) = (context.clock.now(), context.leaving_use());
+        self.group.lead_candidate(now, leaving_use)
+    }
+
+    /// Whether another server of the group may lead where it stands.
+    pub(super) fn has_heir(&self, lead: &Server) -> bool {
+        let now = self.context.clock.now();
+        let places = &self.context.places;
+        let servers = self.group.servers().into_iter();
+        let mut others = servers.filter(|server| server.instance != lead.instance);
+        others.any(|server| server.is_staying() && places.may_succeed(&server, now))
+    }
+
+    /// Whether a primary that cannot be used leads all the same, as after a decision whose step down
+    /// was not answered: then it is handed over from again, not taken as lost.
+    pub(super) async fn still_leads_evacuated(&self, claimant: &Arc<Server>) -> bool {
+        if !claimant.is_evacuated() || is_lost(claimant) {
+            return false;
+        }
+        let status = status_of(&self.context, claimant).await;
+        status.is_some_and(|status| status.role == ServerRole::Primary)
+    }
+
+    /// Whether an evacuated primary steps down now: its heir receives what it has, or it cannot be
+    /// asked for much longer. Until then it serves.
+    pub(super) async fn may_step_down(&self, former: &Arc<Server>, heir: &Arc<Server>) -> bool {
+        let context = &self.context;
+        let Some(status) = status_of(context, former).await else {
+            return false;
+        };
+        if await_position(context, heir, status.received, RECEIVING_LIMIT).await {
+            return true;
+        }
+        let closes_in = former.pool.gate().closes_in();
+        closes_in.is_some_and(|closes_in| closes_in <= LAST_STEP_DOWN)
+    }
+
+    /// Remembers what an evacuated primary had when it stepped down.
+    pub(super) fn note_stepped_down(
+        &mut self,
+        stepped_down: SteppedDown,
+        former: &Server,
+        token: u64,
+    ) {
+        if !former.is_evacuated() {
+            return;
+        }
+        self.step_down = match stepped_down {
+            SteppedDown::HeirHasAll(position) => Some(KnownStepDown {
+                position,
+                unordered: None,
+            }),
+            SteppedDown::HeirLacks(position) => Some(KnownStepDown {
+                position,
+                unordered: Some(token),
+            }),
+            SteppedDown::Unknown => self.step_down,
+        };
+    }
+
+    /// Whether no server leads the group, since this node made the primary step down and has ordered
+    /// none to lead.
+    pub(super) fn has_no_lead(&self) -> bool {
+        self.step_down
+            .is_some_and(|known| known.unordered.is_some())
+    }
+
+    /// Whether that is so still, by the duty as it stands in the store: then nobody can use a lead
+    /// that a new decision would have to wait for. An order may follow, so that it is so only once.
+    pub(super) fn take_last_decision(&mut self, duty: &KnownDuty) -> bool {
+        let known = self.step_down.as_mut();
+        let unordered = known.and_then(|known| known.unordered.take());
+        let newest = duty.row.as_ref().map(|row| row.token);
+        unordered.is_some() && unordered == newest
+    }
+
+    /// Whether a successor may lack commits that a server of an evacuated zone holds, which lives on:
+    /// then nobody is ordered to lead, and what needs the lead is refused until the successor has
+    /// received them or the zone is taken back.
+    pub(super) async fn may_lack_commits(&mut self, successor: &Arc<Server>) -> bool {
+        let required = self.required_position(successor).await;
+        let received = match &required {
+            Required::Nothing => return false,
+            Required::Unknown => None,
+            Required::Position(position) => {
+                let status = status_of(&self.context, successor).await;
+                let received = status.map(|status| status.received);
+                if received.is_some_and(|received| received >= *position) {
+                    return false;
+                }
+                received
+            }
+        };
+        let now = self.context.clock.now();
+        if let Some(suppressed) = self.context.log_budget.take(events::HEIR_INCOMPLETE, now) {
+            log_event!(
+                events::HEIR_INCOMPLETE,
+                group = self.group.name,
+                server = successor.instance,
+                received = format!("{received:?}"),
+                required = format!("{required:?}"),
+                suppressed = suppressed
+            );
+        }
+        tokio::time::sleep(UNDECIDED_PAUSE).await;
+        true
+    }
+
+    async fn required_position(&mut self, successor: &Server) -> Required {
+        if let Some(known) = self.step_down {
+            return Required::Position(known.position);
+        }
+        let mut required = Required::Nothing;
+        for server in self.group.servers() {
+            if server.instance == successor.instance || is_lost(&server) {
+                continue;
+            }
+            required = required.and(self.required_by(&server).await);
+        }
+        required
+    }
+
+    async fn required_by(&mut self, server: &Arc<Server>) -> Required {
+        match server.pool.gate().phase() {
+            Phase::Open => Required::Nothing,
+            Phase::Leaving => match status_of(&self.context, server).await {
+                Some(status) => {
+                    if self.group.led_last(&server.instance) {
+                        self.step_down = Some(KnownStepDown {
+                            position: status.received,
+                            unordered: None,
+                        });
+                    }
+                    Required::Position(status.received)
+                }
+                // It is as lost as a primary anywhere else.
+                None => Required::Nothing,
+            },
+            Phase::Closed if self.group.led_last(&server.instance) => Required::Unknown,
+            // A replica: what it holds the primary held too, which is lost.
+            Phase::Closed => Required::Nothing,
+        }
+    }
+}
+
+/// What a successor must have received.
+#[derive(Debug)]
+enum Required {
+    /// Nothing that is held in an evacuated zone.
+    Nothing,
+    /// This position.
+    Position(Position),
+    /// What the former primary holds, which cannot be asked.
+    Unknown,
+}
+
+impl Required {
+    fn and(self, other: Required) -> Required {
+        match (self, other) {
+            (Required::Nothing, required) | (required, Required::Nothing) => required,
+            (Required::Position(one), Required::Position(two)) => Required::Position(one.max(two)),
+            (Required::Unknown, _) | (_, Required::Unknown) => Required::Unknown,
+        }
+    }
+}
--- a/crates/spurpier-pipeline/src/duty/mod.rs
+++ b/crates/spurpier-pipeline/src/duty/mod.rs
@@ -1,5 +1,6 @@
-//! Replacing a primary that is lost or leaves: seeing it, agreeing on it, and ordering it.
+//! Replacing a primary that is lost, leaves or stands in an evacuated zone: seeing it, agreeing on it, and ordering it.
 
+mod evacuation;
 mod holder;
 mod messages;
 mod peers;
--- a/crates/spurpier-pipeline/src/duty/successor.rs
+++ b/crates/spurpier-pipeline/src/duty/successor.rs
@@ -176,13 +176,13 @@
     (!is_replica).then_some(heir)
 }
 
-/// What became of a leaving primary that was told to step down.
+/// What became of a primary that was told to step down.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SteppedDown {
-    /// It has, and the heir has received all that it had.
-    HeirHasAll,
-    /// It has; the heir lacks some of it.
-    HeirLacks,
+    /// It has, with this position, and the heir has received that.
+    HeirHasAll(Position),
+    /// It has, with this position; the heir lacks some of it.
+    HeirLacks(Position),
     /// It did not say so.
     Unknown,
 }
@@ -200,10 +200,10 @@
     let Some(status) = status.filter(|status| status.role == ServerRole::Replica) else {
         return SteppedDown::Unknown;
     };
-    if await_position(context, heir, status.received).await {
-        SteppedDown::HeirHasAll
+    if await_position(context, heir, status.received, CATCH_UP_LIMIT).await {
+        SteppedDown::HeirHasAll(status.received)
     } else {
-        SteppedDown::HeirLacks
+        SteppedDown::HeirLacks(status.received)
     }
 }
 
@@ -211,8 +211,18 @@
     told.iter().map(Told::term).max().unwrap_or(0)
 }
 
+/// What a server tells of itself; none if it does not.
+pub async fn status_of(context: &Context, server: &Arc<Server>) -> Option<ServerStatus> {
+    ask(context, server, ServerRequest::Status).await
+}
+
 /// Waits until a server has received a position, for a while; tells whether it has.
-async fn await_position(context: &Context, server: &Arc<Server>, position: Position) -> bool {
+pub async fn await_position(
+    context: &Context,
+    server: &Arc<Server>,
+    position: Position,
+    limit: Duration,
+) -> bool {
     let waiting = async {
         loop {
             let status = ask(context, server, ServerRequest::Status).await;
@@ -222,7 +232,7 @@
             tokio::time::sleep(STATUS_PAUSE).await;
         }
     };
-    timeout(CATCH_UP_LIMIT, waiting).await.is_ok()
+    timeout(limit, waiting).await.is_ok()
 }
 
 /// Orders a server to lead.
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use super::evacuation::{KnownStepDown, is_lost};
 use super::holder::{Decision, KnownDuty, read_duty, store_decision};
 use super::peers::Peers;
 use super::round::{Round, yield_to};
@@ -19,6 +20,7 @@
 use crate::context::Context;
 use crate::events;
 use crate::group::Group;
+use crate::places::MoveReason;
 use crate::ports::{PromotionAnswer, StoreError};
 use crate::server::Server;
 use crate::unit::{NotRun, renew_proof};
@@ -32,7 +34,7 @@
 /// The pause between two looks of a case.
 const CASE_PAUSE: Duration = Duration::from_millis(120);
 /// The pause after a decision that found no successor.
-const UNDECIDED_PAUSE: Duration = Duration::from_millis(400);
+pub(super) const UNDECIDED_PAUSE: Duration = Duration::from_millis(400);
 /// How long a new primary may take to lead after its order was taken.
 const TAKE_OVER_LIMIT: Duration = Duration::from_millis(2_500);
 
@@ -93,6 +95,7 @@
             group,
             missing_since: None,
             holder: None,
+            step_down: None,
             assessed_at: context.clock.now(),
         };
         let cases = Arc::clone(self);
@@ -112,20 +115,22 @@
     Nothing,
     /// More looks.
     Patience,
-    /// A successor of a primary that leaves.
-    HandOver(Arc<Server>),
+    /// A successor of a primary that serves and is to be replaced.
+    HandOver(Arc<Server>, MoveReason),
     /// A successor of a primary that is lost.
     Replacement(Option<Arc<Server>>),
 }
 
 /// One group that may need a new primary.
-struct Case {
-    context: Arc<Context>,
+pub(super) struct Case {
+    pub(super) context: Arc<Context>,
     peers: Arc<Peers>,
-    group: Arc<Group>,
+    pub(super) group: Arc<Group>,
     missing_since: Option<Timestamp>,
     /// The duty as it was read, and what is known of its holder since.
     holder: Option<(KnownDuty, HolderRecord)>,
+    /// That a primary of an evacuated zone has stepped down.
+    pub(super) step_down: Option<KnownStepDown>,
     /// When the look began that told what the group needs.
     assessed_at: Timestamp,
 }
@@ -136,8 +141,8 @@
             match self.assess().await {
                 Need::Nothing => return,
                 Need::Patience => {}
-                Need::HandOver(former) => self.see_to(Some(former), true).await,
-                Need::Replacement(former) => self.see_to(former, false).await,
+                Need::HandOver(former, why) => self.see_to(Some(former), Some(why)).await,
+                Need::Replacement(former) => self.see_to(former, None).await,
             }
             tokio::time::sleep(CASE_PAUSE).await;
         }
@@ -157,11 +162,23 @@
         let lead = self.group.lead();
         if proven.is_ok() {
             self.missing_since = None;
+            self.step_down = None;
             return lead.map_or(Need::Nothing, |lead| self.need_of_serving(lead));
         }
         if self.group.servers().is_empty() {
             return Need::Nothing;
         }
+        if let Err(NotRun::Barred(_)) = proven
+            && let Some(barred) = self.candidate()
+            && !is_lost(&barred)
+        {
+            // That nothing may be sent to it says nothing of it.
+            self.missing_since = None;
+            return Need::Patience;
+        }
+        if self.has_no_lead() {
+            return Need::Replacement(None);
+        }
         if proven == Err(NotRun::NoConnection)
             && !lead.is_some_and(|lead| lead.health().is_silent())
         {
@@ -197,7 +214,12 @@
             peers = missing.peers.len(),
             asked = missing.asked
         );
-        Need::Replacement(claimant)
+        match claimant {
+            Some(claimant) if self.still_leads_evacuated(&claimant).await => {
+                Need::HandOver(claimant, MoveReason::Evacuated)
+            }
+            claimant => Need::Replacement(claimant),
+        }
     }
 
     /// What the group of a primary that serves needs.
@@ -205,7 +227,8 @@
         let now = self.context.clock.now();
         let places = &self.context.places;
         match places.reason_to_move(&self.group, &lead, now) {
-            Some(_) => Need::HandOver(lead),
+            Some(MoveReason::Evacuated) if !self.has_heir(&lead) => Need::Patience,
+            Some(why) => Need::HandOver(lead, why),
             None => Need::Nothing,
         }
     }
@@ -220,7 +243,7 @@
     }
 
     /// Decides if this node holds the duty or must take it over; otherwise tells its holder.
-    async fn see_to(&mut self, former: Option<Arc<Server>>, planned: bool) {
+    async fn see_to(&mut self, former: Option<Arc<Server>>, planned: Option<MoveReason>) {
         let Some(duty) = read_duty(&self.context).await else {
             return;
         };
@@ -233,8 +256,10 @@
         self.holder = Some((duty.clone(), record));
         let own_name = self.context.settings.node.name.as_str();
         match next_step(duty.row.as_ref(), own_name, &record, now) {
-            DutyStep::Decide if planned => self.hand_over(&duty, former).await,
-            DutyStep::Decide => self.replace(&duty, former).await,
+            DutyStep::Decide => match planned {
+                Some(why) => self.hand_over(&duty, former, why).await,
+                None => self.replace(&duty, former).await,
+            },
             DutyStep::AskHolder => self.ask_holder(&duty).await,
         }
     }
@@ -259,14 +284,18 @@
             tokio::time::sleep(UNDECIDED_PAUSE).await;
             return;
         };
-        if self.is_led_again() {
+        if self.is_led_again() || self.may_lack_commits(&successor).await {
             return;
         }
+        let is_nobodys = self.take_last_decision(duty);
         let Some(decision) = self.decide(duty, &successor).await else {
             return;
         };
         let peers = Arc::clone(&self.peers);
         let mut round = Round::new(&context, &peers, &group, &decision);
+        if is_nobodys {
+            round.note_stepped_down();
+        }
         let holds_all = holds_all(&context, &group, former.as_deref(), &successor).await;
         if holds_all && let Some(ordering) = round.await_order().await {
             let answer = order(&context, &group, &successor, decision.token()).await;
@@ -280,9 +309,9 @@
         round.clean_up().await;
     }
 
-    /// Hands a group over from a primary that leaves, without losing a commit: it steps down, its
+    /// Hands a group over from a primary that serves, without losing a commit: it steps down, its
     /// heir receives the rest, and is ordered to lead.
-    async fn hand_over(&mut self, duty: &KnownDuty, former: Option<Arc<Server>>) {
+    async fn hand_over(&mut self, duty: &KnownDuty, former: Option<Arc<Server>>, why: MoveReason) {
         let (context, group) = (Arc::clone(&self.context), Arc::clone(&self.group));
         let Some(former) = former else {
             return;
@@ -291,6 +320,9 @@
             tokio::time::sleep(UNDECIDED_PAUSE).await;
             return;
         };
+        if why == MoveReason::Evacuated && !self.may_step_down(&former, &heir).await {
+            return;
+        }
         let Some(decision) = self.decide(duty, &heir).await else {
             return;
         };
@@ -300,9 +332,11 @@
         if stepped_down != SteppedDown::Unknown {
             round.note_stepped_down();
         }
-        // A successor that is too far behind takes over all the same: the group must serve.
-        let may_order =
-            group.synchronous_replicas() == 0 || stepped_down == SteppedDown::HeirHasAll;
+        self.note_stepped_down(stepped_down, &former, decision.succession.token);
+        // The server of a primary that leaves ends: a successor that is too far behind takes over all
+        // the same, since the group must serve. That of an evacuated one lives on.
+        let may_lose = why == MoveReason::Leaving && group.synchronous_replicas() == 0;
+        let may_order = may_lose || matches!(stepped_down, SteppedDown::HeirHasAll(_));
         if may_order && let Some(ordering) = round.await_order().await {
             let answer = order(&context, &group, &heir, decision.token()).await;
             drop(ordering);
--- a/crates/spurpier-pipeline/src/group.rs
+++ b/crates/spurpier-pipeline/src/group.rs
@@ -29,6 +29,8 @@
 struct GroupInner {
     servers: BTreeMap<String, Arc<Server>>,
     lead: Option<String>,
+    /// The server that proved the lead last, also if it has lost it since.
+    led_last: Option<String>,
     denied: HashMap<String, Timestamp>,
     evidence: LeadEvidence,
     /// The newest proof that this node had itself.
@@ -132,6 +134,11 @@
         inner.servers.get(inner.lead.as_ref()?).map(Arc::clone)
     }
 
+    /// Whether this server was the last one that proved the lead to this node.
+    pub fn led_last(&self, instance: &str) -> bool {
+        self.lock().led_last.as_deref() == Some(instance)
+    }
+
     /// The server to ask for the lead next; none while all have just refused.
     ///
     /// [`choose_lead`] chooses among those that have not just refused. A server that leaves may lead for `leaving_use` at most.
@@ -222,6 +229,7 @@
             let is_new = inner.lead.as_deref() != Some(server.instance.as_str());
             if is_new {
                 inner.lead = Some(server.instance.clone());
+                inner.led_last = Some(server.instance.clone());
             }
             is_new
         };
