Find the configuration among other rows of its table, whatever they are

Cause: of several rows in one answer of the store the last one was taken for the configuration, so that a row of another kind beside it hid it until the next change. Rows that cannot be read are logged and passed over.

--- a/crates/spurpier-pipeline/src/configuration/mod.rs
+++ b/crates/spurpier-pipeline/src/configuration/mod.rs
@@ -192,23 +192,17 @@
         let entries = &self.0.entries;
         let zone_of = |row: &Row| entries.evacuated_zone(row);
         let mut rows = rows::evacuated_rows(told, is_whole, &evacuated, zone_of);
-        let mut configurations = told.iter().filter(|row| zone_of(row).is_none());
-        let configuration = configurations.rfind(|row| !row.gone);
-        rows.extend(match configuration {
-            Some(told) => self.configuration_rows(told, known),
-            None => known,
-        });
+        rows.extend(self.configuration_rows(told, known));
         rows.sort_by(|one, other| one.key.cmp(&other.key));
         Some(rows)
     }
 }
 
 impl ConfigurationSink {
-    /// The rows of the configuration that the store has told; one that cannot be read or has faults
-    /// tells nothing new.
-    fn configuration_rows(&self, told: &Row, known: Vec<Row>) -> Vec<Row> {
-        let Some(configuration) = self.0.entries.configuration(told) else {
-            log_malformed(&told.key);
+    /// The rows of the configuration after the store has told of its rows; one that cannot be read
+    /// or has faults tells nothing new.
+    fn configuration_rows(&self, told: &[Row], known: Vec<Row>) -> Vec<Row> {
+        let Some((configuration, version)) = self.told_configuration(told) else {
             return known;
         };
         let findings = check::check_tenants(&configuration);
@@ -219,7 +213,24 @@
             log_refused(configuration.version, &findings);
             return known;
         }
-        rows::split(&configuration, told.version, &known)
+        rows::split(&configuration, version, &known)
+    }
+
+    /// The configuration among rows that the store has told, and its row's version; rows of other
+    /// kinds may stand beside it.
+    fn told_configuration(&self, told: &[Row]) -> Option<(Configuration, u64)> {
+        let entries = &self.0.entries;
+        let others = told
+            .iter()
+            .rev()
+            .filter(|row| !row.gone && entries.evacuated_zone(row).is_none());
+        others.into_iter().find_map(|row| {
+            let configuration = entries.configuration(row);
+            if configuration.is_none() {
+                log_malformed(&row.key);
+            }
+            Some((configuration?, row.version))
+        })
     }
 }
 
