Remember a step down also when the decision that follows cannot be stored

Cause: a node that had made a primary step down forgot that nobody leads once it tried to decide anew, so that a store that did not answer once made it wait for leases. By reading; covered by a_node_that_decided_goes_on_while_another_one_is_killed only where the store answers.

--- a/crates/spurpier-pipeline/src/duty/evacuation.rs
+++ b/crates/spurpier-pipeline/src/duty/evacuation.rs
@@ -110,14 +110,20 @@
     }
 
     /// Whether that is so still, by the duty as it stands in the store: then nobody can use a lead
-    /// that a new decision would have to wait for. An order may follow, so that it is so only once.
-    pub(super) fn take_last_decision(&mut self, duty: &KnownDuty) -> bool {
-        let known = self.step_down.as_mut();
-        let unordered = known.and_then(|known| known.unordered.take());
+    /// that a new decision would have to wait for.
+    pub(super) fn has_decided_last(&self, duty: &KnownDuty) -> bool {
+        let unordered = self.step_down.and_then(|known| known.unordered);
         let newest = duty.row.as_ref().map(|row| row.token);
         unordered.is_some() && unordered == newest
     }
 
+    /// Notes that a server may be ordered to lead from now on.
+    pub(super) fn note_decided_anew(&mut self) {
+        if let Some(known) = &mut self.step_down {
+            known.unordered = None;
+        }
+    }
+
     /// Whether a successor may lack commits that a server of an evacuated zone holds, which lives on:
     /// then nobody is ordered to lead, and what needs the lead is refused until the successor has
     /// received them or the zone is taken back.
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -287,13 +287,14 @@
         if self.is_led_again() || self.may_lack_commits(&successor).await {
             return;
         }
-        let is_nobodys = self.take_last_decision(duty);
+        let nobody_leads = self.has_decided_last(duty);
         let Some(decision) = self.decide(duty, &successor).await else {
             return;
         };
+        self.note_decided_anew();
         let peers = Arc::clone(&self.peers);
         let mut round = Round::new(&context, &peers, &group, &decision);
-        if is_nobodys {
+        if nobody_leads {
             round.note_stepped_down();
         }
         let holds_all = holds_all(&context, &group, former.as_deref(), &successor).await;
