Decide how many requests may be sent to a cold server, and until when it is cold

A server tells that it is cold for a while, and within any sliding second it may get rate x overage + slack requests over all nodes. Only what is sent and received inside the second counts, so a bound on sendings is enough. The quota's authority, ledger and choice are used as they are; the ledger tells a pause without taking a leave.

--- a/crates/spurpier-core/src/quota/ledger.rs
+++ b/crates/spurpier-core/src/quota/ledger.rs
@@ -56,6 +56,14 @@
         Taken::Ask
     }
 
+    /// For how long the tenant is known to be at its limit; none if a leave may be had.
+    pub fn limited_for(&self, tenant: &str, now: Timestamp) -> Option<Duration> {
+        let held = self.tenants.get(tenant)?;
+        let has_leave = held.leaves.iter().any(|leave| leave.ends_at > now);
+        let is_limited = held.limited_until > now && !has_leave;
+        is_limited.then(|| held.limited_until.since(now))
+    }
+
     /// Takes in the answer to a question for `waiting` operations that was sent at `asked_at`:
     /// the leaves of those that may start. The others may ask again after the grant's pause.
     pub fn note_grant(
