Let each message to a cold server pass a gate that needs a leave

Nothing counted what goes to a cold server. Each server has a gate that its connections pass with each message that they send: openings, statements of clients, own statements, values and prepared names, statements of transactions. A warm server's gate is one load of a number. The leaves come from the quota's machinery, in a seat of its own whose authority is voted for only while a server is cold. A message without a leave is refused at once with the authority's pause; one for which leaves were used already, or whose transaction stands open, waits a little. A refusal by the gate is no silence of the server: it must not have a primary replaced. Reads go to warm servers first, and a warm candidate is preferred as a primary.

--- a/crates/spurpier-pipeline/src/configuration/mod.rs
+++ b/crates/spurpier-pipeline/src/configuration/mod.rs
@@ -119,6 +119,17 @@
         !self.quotas.is_empty()
     }
 
+    /// Requests a second to a server of a group while it is cold; none if that is not bounded.
+    pub fn cold_per_second(&self, group: &str) -> Option<f64> {
+        self.groups.get(group)?.cold_per_second
+    }
+
+    /// Whether the requests to cold servers of any group are bounded.
+    pub fn has_cold_rates(&self) -> bool {
+        let mut groups = self.groups.values();
+        groups.any(|group| group.cold_per_second.is_some())
+    }
+
     /// The connections that each server of a group takes; none if the group is not known.
     pub fn connections(&self, group: &str) -> Option<usize> {
         self.groups.get(group).map(|group| group.connections)
--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -22,7 +22,7 @@
 use crate::known_tables::KnownTables;
 use crate::log_budget::LogBudget;
 use crate::metrics::Metrics;
-use crate::places::Places;
+use crate::places::{ColdServers, Places};
 use crate::ports::{
     ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
 };
@@ -67,6 +67,8 @@
     pub places: Places,
     /// Leave to start tenants' operations.
     pub quotas: Quotas,
+    /// Leave to send to cold servers.
+    pub cold: Arc<ColdServers>,
     /// The connections to other nodes that take forwarded units.
     pub links: Links,
     /// Whether the store left this node's last call without an answer.
--- a/crates/spurpier-pipeline/src/directory.rs
+++ b/crates/spurpier-pipeline/src/directory.rs
@@ -11,6 +11,7 @@
 use crate::events;
 use crate::follow::RowSink;
 use crate::group::Group;
+use crate::places::ColdGate;
 use crate::ports::{Row, ServerEntry};
 use crate::server::{Listing, Pool, Server, Target};
 
@@ -57,7 +58,9 @@
             address: entry.address,
             group: entry.group.clone(),
             instance: entry.instance.clone(),
+            gate: ColdGate::new(&context.cold, &entry),
         };
+        target.gate.note_entry(entry.cold_for, version);
         let dialect = Arc::clone(&context.server_dialect);
         let limit = connection_share(context, &group.name, &entry.zone);
         let pool = Pool::new(target, dialect, context.clock.clone(), limit);
@@ -75,6 +78,7 @@
 
     fn update(&self, group: &Group, server: &Server, entry: ServerEntry, version: u64) {
         let (draining, role) = (entry.draining, entry.role);
+        server.gate().note_entry(entry.cold_for, version);
         let begins_to_leave = {
             let mut listing = server.listing();
             if version < listing.version {
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -19,6 +19,7 @@
 use crate::context::Context;
 use crate::events;
 use crate::group::Group;
+use crate::places::Bar;
 use crate::ports::{PromotionAnswer, StoreError};
 use crate::server::Server;
 use crate::unit::{NotRun, renew_proof};
@@ -162,10 +163,13 @@
         if self.group.servers().is_empty() {
             return Need::Nothing;
         }
-        if proven == Err(NotRun::NoConnection)
-            && !lead.is_some_and(|lead| lead.health().is_silent())
-        {
-            // All connections are at work: that tells of load, not of a lost primary.
+        let is_load = matches!(
+            proven,
+            Err(NotRun::NoConnection | NotRun::Barred(Bar::Cold(_)))
+        );
+        if is_load && !lead.is_some_and(|lead| lead.health().is_silent()) {
+            // All connections are at work, or a cold primary takes no more for now: that tells of
+            // load, not of a lost primary.
             return Need::Patience;
         }
         let missing_since = *self.missing_since.get_or_insert(started);
--- a/crates/spurpier-pipeline/src/events.rs
+++ b/crates/spurpier-pipeline/src/events.rs
@@ -24,6 +24,8 @@
     REQUEST_RETRIED = 6032, "request_retried", Info, "a statement is tried again", "none if rare";
     CLIENT_VIOLATION = 6033, "pipeline_client_violation", Warn, "a client sent bytes that violate the protocol and was closed", "find out what connects from there";
     NODE_LOST = 6034, "node_lost", Warn, "a listed node could not be reached for long and is taken off the list", "see the node; one that is only cut off lists itself again";
+    SERVER_COLD = 6130, "server_cold", Info, "a server is cold; where its group has a cold rate, messages to it are counted over all nodes", "none";
+    SERVER_WARM = 6131, "server_warm", Info, "a server that was cold is warm again and takes any number of messages", "none";
     DUTY_TAKEN = 6040, "duty_taken", Info, "this node holds the promotion duty under a new token", "none";
     DUTY_REFUSED = 6041, "duty_refused", Info, "another node holds the promotion duty or was faster", "none";
     PROMOTION_SENT = 6042, "promotion_sent", Warn, "a server is told to take over its group", "see why the former primary was lost, unless it was leaving";
--- a/crates/spurpier-pipeline/src/follow/mod.rs
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -217,7 +217,7 @@
         known.replace(self.table, rows, version, told_at);
         self.sink.replace(rows);
         self.knows_rows = true;
-        self.note_told(version, told_at);
+        self.note_taken_in(version, told_at);
     }
 
     fn take_changes(&mut self, rows: &[Row], version: u64, told_at: Timestamp) {
@@ -227,6 +227,14 @@
         if !rows.is_empty() {
             self.sink.change(rows);
         }
+        self.note_taken_in(version, told_at);
+    }
+
+    /// Takes in that all rows up to a version have been taken in.
+    fn note_taken_in(&mut self, version: u64, told_at: Timestamp) {
+        if self.table == Table::Servers {
+            self.context.cold.note_entries_known_to(version);
+        }
         self.note_told(version, told_at);
     }
 
--- a/crates/spurpier-pipeline/src/metrics.rs
+++ b/crates/spurpier-pipeline/src/metrics.rs
@@ -88,6 +88,8 @@
     connections: Family<ConnectionLabels, Gauge>,
     connection_uses: Family<Kind, Counter>,
     leave_questions: Counter,
+    cold_servers: Family<GroupLabels, Gauge>,
+    cold_messages: Family<Kind, Counter>,
     proof_ages: Family<GroupLabels, Gauge>,
     homes: Family<GroupLabels, Gauge>,
     configuration: Gauge,
@@ -115,6 +117,8 @@
             connections: Family::default(),
             connection_uses: Family::default(),
             leave_questions: Counter::default(),
+            cold_servers: Family::default(),
+            cold_messages: Family::default(),
             proof_ages: Family::default(),
             homes: Family::default(),
             configuration: Gauge::default(),
@@ -148,6 +152,10 @@
         registry.register("connection_uses", text, self.connection_uses.clone());
         let text = "Questions to authorities for leave to start operations, votes among them";
         registry.register("leave_questions", text, self.leave_questions.clone());
+        let text = "Servers of a group that are cold";
+        registry.register("cold_servers", text, self.cold_servers.clone());
+        let text = "Messages to cold servers, by whether a leave was given: sent, refused";
+        registry.register("cold_messages", text, self.cold_messages.clone());
         let text = "Age of the newest proof of lead, in milliseconds; -1 without one";
         registry.register("proof_age_ms", text, self.proof_ages.clone());
         let text = "Homes of a group, this node among them if it is one";
@@ -235,6 +243,7 @@
         self.connections.clear();
         self.proof_ages.clear();
         self.homes.clear();
+        self.cold_servers.clear();
         let now = context.clock.now();
         for group in context.all_groups() {
             let labels = GroupLabels {
@@ -244,9 +253,14 @@
             self.proof_ages.get_or_create(&labels).set(age);
             let homes = context.homes_of(&group.name).count;
             self.homes.get_or_create(&labels).set(as_gauge(homes));
-            for server in group.servers() {
+            let servers = group.servers();
+            let cold = servers.iter().filter(|server| server.gate().is_cold(now));
+            let cold = as_gauge(cold.count());
+            self.cold_servers.get_or_create(&labels).set(cold);
+            for server in servers {
                 self.set_connections(&group.name, &server);
                 self.count_connection_uses(&server);
+                self.count_cold_uses(&server);
             }
         }
     }
@@ -276,6 +290,14 @@
         }
     }
 
+    fn count_cold_uses(&self, server: &Server) {
+        let uses = server.gate().take_uses();
+        for (kind, count) in [("sent", uses.sent), ("refused", uses.refused)] {
+            let counter = self.cold_messages.get_or_create(&Kind { kind });
+            counter.inc_by(count);
+        }
+    }
+
     fn set_connections(&self, group: &str, server: &Server) {
         let counts = server.pool.counts();
         let states = [
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -29,7 +29,7 @@
 use crate::log_budget::LogBudget;
 use crate::membership::{ClusterSink, keep_listed, list_leaving, unlist_lost, unlist_self};
 use crate::metrics::Metrics;
-use crate::places::Places;
+use crate::places::{ColdServers, Places};
 use crate::ports::{
     ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
 };
@@ -175,11 +175,15 @@
     fn new(parts: NodeParts) -> (Self, Listeners, LostNodes) {
         let clock = Clock::new();
         let (links, lost) = Links::new();
+        let configuration = watch::Sender::new(None);
+        let bounds = &parts.settings.bounds;
+        let cold = ColdServers::new(bounds, clock.clone(), configuration.subscribe());
         let context = Context {
             retry_budget: Mutex::new(RetryBudget::new(RETRY_BUDGET, clock.now())),
             homes: Homes::new(&parts.settings),
             places: Places::new(&parts.settings),
-            quotas: Quotas::new(&parts.settings.bounds),
+            quotas: Quotas::new(bounds),
+            cold,
             settings: parts.settings,
             clock,
             client_dialect: parts.client_dialect,
@@ -187,7 +191,7 @@
             store: parts.store,
             entries: parts.entries,
             promotions: parts.promotions,
-            configuration: watch::Sender::new(None),
+            configuration,
             groups: Mutex::default(),
             links,
             store_lost: AtomicBool::new(false),
--- /dev/null
+++ b/crates/spurpier-pipeline/src/places/cold.rs
@@ -0,0 +1,339 @@
+//! Sending to cold servers: each message to one needs a leave, over all nodes together.
+//!
+//! The decisions are [`spurpier_core::places`]'s and [`spurpier_core::quota`]'s. Each server has a
+//! gate, which its connections pass with each message that they send, so that none is forgotten.
+//! A warm server's gate is one load of a number.
+
+use std::fmt;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use spurpier_core::places::{ColdBound, Coldness, is_entry_outdated};
+use spurpier_core::time::Timestamp;
+use spurpier_events::log_event;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::configuration::InForce;
+use crate::events;
+use crate::ports::{Quota, ServerEntry};
+use crate::quota::{Quotas, Refused, TenantQuota};
+use crate::settings::BoundSettings;
+
+/// How long a message may wait for its leave: enough for a question to another region and back
+/// (40 ms) that is asked again, and less than the 500 ms after which a lead counts as silent.
+const LEAVE_LIMIT: Duration = Duration::from_millis(300);
+/// As [`LEAVE_LIMIT`], for a statement of an open transaction, which would be dropped without one:
+/// the leaves of half a second, at 10 a second for 5 statements.
+const TRANSACTION_LEAVE_LIMIT: Duration = Duration::from_millis(500);
+/// When a client should come back that no leave was given for and none ever is.
+const NEVER_PAUSE: Duration = Duration::from_secs(1);
+
+/// When a client should come back that only a server of a zone taken back could serve, whose entry
+/// is not known to be new enough: a table is told of within a second.
+const ENTRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// How a message waits for its leave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Patience {
+    /// It is refused as soon as none is to be had: nothing is lost by that.
+    Refused,
+    /// It waits a little: leaves were used already to prepare its connection.
+    Prepared,
+    /// It waits longer: its transaction stands open.
+    Transaction,
+}
+
+impl Patience {
+    const fn limit(self) -> Duration {
+        match self {
+            Patience::Refused | Patience::Prepared => LEAVE_LIMIT,
+            Patience::Transaction => TRANSACTION_LEAVE_LIMIT,
+        }
+    }
+}
+
+/// No leave was given; one may be asked for again after this time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NoLeave(pub Duration);
+
+/// What all gates of a node share.
+pub struct ColdServers {
+    clock: Clock,
+    configuration: watch::Receiver<Option<Arc<InForce>>>,
+    bound: ColdBound,
+    /// Leaves to send, and what this node counts for others.
+    pub leaves: Quotas,
+    /// Until when any server is cold, in microseconds of the clock.
+    latest_end: AtomicU64,
+    /// The store's version up to which the servers' entries are known.
+    entries_known_to: AtomicU64,
+}
+
+impl fmt::Debug for ColdServers {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("ColdServers")
+            .finish_non_exhaustive()
+    }
+}
+
+impl ColdServers {
+    /// No server is cold yet.
+    pub fn new(
+        bounds: &BoundSettings,
+        clock: Clock,
+        configuration: watch::Receiver<Option<Arc<InForce>>>,
+    ) -> Arc<Self> {
+        Arc::new(ColdServers {
+            clock,
+            configuration,
+            bound: ColdBound {
+                overage: bounds.cold_overage,
+                slack: bounds.cold_slack,
+            },
+            leaves: Quotas::of_cold_servers(),
+            latest_end: AtomicU64::new(0),
+            entries_known_to: AtomicU64::new(0),
+        })
+    }
+
+    /// Whether requests to any server are counted now.
+    pub fn are_counted(&self, now: Timestamp) -> bool {
+        let any_cold = self.latest_end.load(Ordering::Relaxed) > now.as_micros();
+        let known = self.configuration.borrow();
+        any_cold && known.as_ref().is_some_and(|known| known.has_cold_rates())
+    }
+
+    /// Takes in up to which version of the store the servers' entries are known and taken in.
+    pub fn note_entries_known_to(&self, version: u64) {
+        self.entries_known_to.fetch_max(version, Ordering::Release);
+    }
+
+    /// Whether servers of a zone wait for entries as new as the end of its evacuation, in which
+    /// they may have turned cold.
+    fn awaits_entries(&self, zone: &str) -> bool {
+        let known_to = self.entries_known_to.load(Ordering::Acquire);
+        is_entry_outdated(self.taken_back_at(zone), known_to)
+    }
+
+    /// The version at which a zone that was evacuated was taken back; none, as no evacuations are
+    /// followed yet.
+    fn taken_back_at(&self, _zone: &str) -> Option<u64> {
+        None
+    }
+
+    /// How much may be sent to a cold server of a group; none if that is not bounded.
+    fn rate(&self, group: &str) -> Option<ColdRate> {
+        let known = self.configuration.borrow();
+        let known = known.as_ref()?;
+        let per_second = known.cold_per_second(group)?;
+        let Some(rate) = self.bound.rate(per_second) else {
+            return Some(ColdRate::Nothing);
+        };
+        let quota = Quota {
+            per_second: rate.per_second,
+            burst: rate.burst,
+        };
+        let version = known.configuration.version;
+        Some(ColdRate::Leaves(TenantQuota { quota, version }))
+    }
+}
+
+/// How much may be sent to a cold server.
+#[derive(Debug, Clone, Copy)]
+enum ColdRate {
+    /// Nothing at all.
+    Nothing,
+    /// So many leaves.
+    Leaves(TenantQuota),
+}
+
+/// What was sent to a server while it was cold, since this was asked last.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ColdUse {
+    /// Messages that were sent.
+    pub sent: u64,
+    /// Messages that no leave was given for.
+    pub refused: u64,
+}
+
+/// Lets messages pass to one server, as many as its bound allows while it is cold.
+#[derive(Debug)]
+pub struct ColdGate {
+    shared: Arc<ColdServers>,
+    instance: Arc<str>,
+    group: String,
+    zone: String,
+    coldness: Mutex<Coldness>,
+    /// Until when the server is cold, in microseconds of the clock.
+    cold_until: AtomicU64,
+    /// Messages that wait for a leave although none is to be had now.
+    waiting: AtomicUsize,
+    sent: AtomicU64,
+    refused: AtomicU64,
+}
+
+impl ColdGate {
+    /// The gate of a server, which is warm as far as is known.
+    pub fn new(shared: &Arc<ColdServers>, entry: &ServerEntry) -> Arc<Self> {
+        Arc::new(ColdGate {
+            shared: Arc::clone(shared),
+            instance: Arc::from(entry.instance.as_str()),
+            group: entry.group.clone(),
+            zone: entry.zone.clone(),
+            coldness: Mutex::default(),
+            cold_until: AtomicU64::new(0),
+            waiting: AtomicUsize::new(0),
+            sent: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
+        })
+    }
+
+    /// Takes in an entry of the server that has just come.
+    pub fn note_entry(self: &Arc<Self>, cold_for: Duration, version: u64) {
+        let now = self.shared.clock.now();
+        let was_cold = self.is_cold(now);
+        let until = {
+            let coldness = self.coldness.lock();
+            let mut coldness = coldness.unwrap_or_else(PoisonError::into_inner);
+            coldness.note_entry(cold_for, version, now);
+            let until = coldness.until();
+            self.cold_until.store(until.as_micros(), Ordering::Relaxed);
+            until
+        };
+        let latest_end = &self.shared.latest_end;
+        latest_end.fetch_max(until.as_micros(), Ordering::Relaxed);
+        if until > now && !was_cold {
+            log_event!(
+                events::SERVER_COLD,
+                group = self.group,
+                server = self.instance,
+                cold_ms = cold_for.as_millis()
+            );
+            tokio::spawn(Arc::clone(self).log_warm());
+        }
+    }
+
+    /// Tells in the log when the server is warm again.
+    async fn log_warm(self: Arc<Self>) {
+        let clock = &self.shared.clock;
+        while self.is_cold(clock.now()) {
+            tokio::time::sleep_until(clock.instant(self.cold_until())).await;
+        }
+        log_event!(
+            events::SERVER_WARM,
+            group = self.group,
+            server = self.instance
+        );
+    }
+
+    fn cold_until(&self) -> Timestamp {
+        Timestamp::from_micros(self.cold_until.load(Ordering::Relaxed))
+    }
+
+    /// Whether the server is cold.
+    pub fn is_cold(&self, now: Timestamp) -> bool {
+        self.cold_until() > now
+    }
+
+    /// Whether messages to the server need leaves.
+    pub fn is_counted(&self) -> bool {
+        self.is_cold(self.shared.clock.now()) && self.shared.rate(&self.group).is_some()
+    }
+
+    /// For how long it is known that no leave is to be had; none if one may be.
+    pub fn closed_for(&self, now: Timestamp) -> Option<Duration> {
+        if self.shared.awaits_entries(&self.zone) {
+            return Some(ENTRY_PAUSE);
+        }
+        if !self.is_cold(now) {
+            return None;
+        }
+        match self.shared.rate(&self.group)? {
+            ColdRate::Nothing => Some(NEVER_PAUSE),
+            ColdRate::Leaves(_) => self.shared.leaves.limited_for(&self.instance, now),
+        }
+    }
+
+    /// What was sent while it was cold, since this was asked last.
+    pub fn take_uses(&self) -> ColdUse {
+        ColdUse {
+            sent: self.sent.swap(0, Ordering::Relaxed),
+            refused: self.refused.swap(0, Ordering::Relaxed),
+        }
+    }
+
+    /// Lets one message pass, which must be sent at once.
+    ///
+    /// # Errors
+    ///
+    /// [`NoLeave`] if it must not be sent.
+    pub async fn pass(&self, patience: Patience) -> Result<(), NoLeave> {
+        if self.shared.awaits_entries(&self.zone) {
+            return self.refuse(ENTRY_PAUSE);
+        }
+        if !self.is_cold(self.shared.clock.now()) {
+            return Ok(());
+        }
+        let quota = match self.shared.rate(&self.group) {
+            None => return Ok(()),
+            Some(ColdRate::Nothing) => return self.refuse(NEVER_PAUSE),
+            Some(ColdRate::Leaves(quota)) => quota,
+        };
+        match self.take_leave(quota, patience).await {
+            Ok(()) => {
+                self.sent.fetch_add(1, Ordering::Relaxed);
+                Ok(())
+            }
+            Err(pause) => self.refuse(pause),
+        }
+    }
+
+    fn refuse(&self, pause: Duration) -> Result<(), NoLeave> {
+        self.refused.fetch_add(1, Ordering::Relaxed);
+        Err(NoLeave(pause))
+    }
+
+    /// Takes a leave that is not over; the pause until one may be had if there is none.
+    async fn take_leave(&self, quota: TenantQuota, patience: Patience) -> Result<(), Duration> {
+        let clock = &self.shared.clock;
+        let until = clock.now() + patience.limit();
+        if patience == Patience::Refused && self.waiting.load(Ordering::Relaxed) > 0 {
+            // What waits goes first: it has more to lose.
+            return Err(LEAVE_LIMIT);
+        }
+        loop {
+            let leaves = &self.shared.leaves;
+            let taken = leaves.take(clock, &self.instance, quota, until).await;
+            let pause = match taken {
+                Ok(leave) if leave.ends_at > clock.now() => return Ok(()),
+                // The process stood still in between.
+                Ok(_) => continue,
+                Err(Refused::OverQuota(pause) | Refused::NoAuthority(pause)) => pause,
+            };
+            if patience == Patience::Refused || clock.now() + pause >= until {
+                return Err(pause);
+            }
+            let _waiting = Waits::new(&self.waiting);
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
+
+/// Counts a message that waits.
+struct Waits<'a>(&'a AtomicUsize);
+
+impl<'a> Waits<'a> {
+    fn new(waiting: &'a AtomicUsize) -> Self {
+        waiting.fetch_add(1, Ordering::Relaxed);
+        Waits(waiting)
+    }
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/spurpier-pipeline/src/places/mod.rs
+++ b/crates/spurpier-pipeline/src/places/mod.rs
@@ -3,12 +3,15 @@
 //! Every choice of a server or a home asks here, at each hop: the first choice, a unit that is
 //! handed on, a further attempt, and a transaction's next statement.
 
+mod cold;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use spurpier_core::places::AllowedRegions;
 use spurpier_core::time::Timestamp;
 
+pub use self::cold::{ColdGate, ColdServers, NoLeave, Patience};
 use crate::group::Group;
 use crate::server::Server;
 use crate::settings::PipelineSettings;
@@ -19,8 +22,6 @@
 /// When a client should come back that only a server of an evacuated zone could serve: about how
 /// long a primary's replacement takes.
 const EVACUATION_RETRY: Duration = Duration::from_millis(600);
-/// When a client should come back that only a cold server could serve.
-const COLD_RETRY: Duration = Duration::from_millis(250);
 
 /// Why a server or a home may not be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,9 +31,14 @@
     /// Its zone is evacuated.
     #[expect(dead_code, reason = "evacuations are not followed yet")]
     Evacuated,
-    /// It is cold and takes no more for now.
-    #[expect(dead_code, reason = "cold servers are not counted yet")]
-    Cold,
+    /// It is cold and takes no more for so long.
+    Cold(Duration),
+}
+
+impl From<NoLeave> for Bar {
+    fn from(NoLeave(pause): NoLeave) -> Self {
+        Bar::Cold(pause)
+    }
 }
 
 impl Bar {
@@ -41,7 +47,7 @@
         match self {
             Bar::Region => "region_not_allowed",
             Bar::Evacuated => "zone_evacuated",
-            Bar::Cold => "server_cold",
+            Bar::Cold(_) => "server_cold",
         }
     }
 
@@ -50,7 +56,7 @@
         match self {
             Bar::Region => REGION_RETRY,
             Bar::Evacuated => EVACUATION_RETRY,
-            Bar::Cold => COLD_RETRY,
+            Bar::Cold(pause) => pause,
         }
     }
 }
@@ -107,12 +113,11 @@
         self.bar(allowed, lead, now)
     }
 
-    fn bar(&self, allowed: &AllowedRegions, server: &Server, _now: Timestamp) -> Option<Bar> {
-        if allowed.is_anywhere() {
-            return None;
+    fn bar(&self, allowed: &AllowedRegions, server: &Server, now: Timestamp) -> Option<Bar> {
+        if !allowed.is_anywhere() && !self.allows(allowed, &server.listing().entry.zone) {
+            return Some(Bar::Region);
         }
-        let is_allowed = self.allows(allowed, &server.listing().entry.zone);
-        (!is_allowed).then_some(Bar::Region)
+        server.gate().closed_for(now).map(Bar::Cold)
     }
 
     /// Why a group's primary, which serves, is to be replaced; none if it is to stay.
@@ -131,8 +136,8 @@
     }
 
     /// How well a server's place fits as that of its group's primary; the greater one goes first
-    /// among servers that have received as much.
-    pub fn fit(&self, _group: &Group, _server: &Server, _now: Timestamp) -> u64 {
-        0
+    /// among servers that have received as much: a cold one is slow, and may take few requests.
+    pub fn fit(&self, _group: &Group, server: &Server, now: Timestamp) -> u64 {
+        u64::from(!server.gate().is_cold(now))
     }
 }
--- a/crates/spurpier-pipeline/src/quota/mod.rs
+++ b/crates/spurpier-pipeline/src/quota/mod.rs
@@ -7,17 +7,20 @@
 mod seat;
 
 use std::collections::HashMap;
+use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use rand::RngExt;
 use spurpier_core::homes::subject_digest;
+use spurpier_core::places::ColdBound;
 use spurpier_core::quota::{Authority, Grant, Leave, Ledger, QuotaBound, QuotaRate, Taken, Want};
 use spurpier_core::time::Timestamp;
 use tokio::sync::oneshot;
 
 pub use self::messages::{LeaveAnswer, LeaveQuestion};
 use self::seat::Seat;
+use crate::clock::Clock;
 use crate::context::Context;
 use crate::ports::Quota;
 use crate::settings::BoundSettings;
@@ -26,6 +29,8 @@
 /// goes to one of them, so that of 59 nodes with 1,200 operations a second each of four answers 300
 /// questions a second.
 const SEATS: u8 = 4;
+/// Seats of cold servers, behind those of tenants: they are few, and cold for seconds.
+const COLD_SEATS: u8 = 1;
 /// What a client is told to wait when no authority can be asked.
 const UNREACHED_PAUSE: Duration = Duration::from_millis(300);
 
@@ -70,16 +75,72 @@
 impl Quotas {
     /// No leaves, and nothing counted.
     pub fn new(bounds: &BoundSettings) -> Self {
+        let bound = QuotaBound {
+            window: Duration::from_secs_f64(bounds.quota_window_s),
+            overage: bounds.quota_overage,
+            slack: bounds.quota_slack,
+        };
+        Self::of_seats(0..SEATS, bound)
+    }
+
+    /// As [`Quotas::new`], for what is sent to cold servers, which stand in the place of tenants.
+    pub fn of_cold_servers() -> Self {
+        Self::of_seats(SEATS..SEATS + COLD_SEATS, ColdBound::COUNTED)
+    }
+
+    fn of_seats(seats: Range<u8>, bound: QuotaBound) -> Self {
         Quotas {
             ledger: Mutex::default(),
-            seats: (0..SEATS).map(|index| Arc::new(Seat::new(index))).collect(),
+            seats: seats.map(|index| Arc::new(Seat::new(index))).collect(),
             authorities: Mutex::default(),
             life: rand::rng().random(),
-            bound: QuotaBound {
-                window: Duration::from_secs_f64(bounds.quota_window_s),
-                overage: bounds.quota_overage,
-                slack: bounds.quota_slack,
-            },
+            bound,
+        }
+    }
+
+    /// What counts the subjects of a seat.
+    fn of_seat(context: &Context, seat: u8) -> &Self {
+        if seat < SEATS {
+            &context.quotas
+        } else {
+            &context.cold.leaves
+        }
+    }
+
+    /// Whether there is anything to count in a seat.
+    fn is_used(context: &Context, seat: u8) -> bool {
+        if seat < SEATS {
+            context.in_force().is_some_and(|known| known.has_quotas())
+        } else {
+            context.cold.are_counted(context.clock.now())
+        }
+    }
+
+    /// For how long it is known that no leave is to be had; none if one may be.
+    pub fn limited_for(&self, subject: &str, now: Timestamp) -> Option<Duration> {
+        self.ledger().limited_for(subject, now)
+    }
+
+    /// Takes a leave for an operation on a subject, at most until `until`.
+    ///
+    /// # Errors
+    ///
+    /// [`Refused`], at once where that is known already.
+    pub async fn take(
+        &self,
+        clock: &Clock,
+        subject: &Arc<str>,
+        quota: TenantQuota,
+        until: Timestamp,
+    ) -> Result<Leave, Refused> {
+        let taken = self.ledger().take(subject, clock.now());
+        match taken {
+            Taken::Leave(leave) => Ok(leave),
+            Taken::Limited(pause) => Err(Refused::OverQuota(pause)),
+            Taken::Ask => {
+                let asked = self.seat(subject).ask(subject, quota);
+                await_leave(clock, asked, until).await
+            }
         }
     }
 
@@ -89,7 +150,7 @@
 
     fn seat(&self, tenant: &str) -> &Arc<Seat> {
         let digest = subject_digest(tenant);
-        &self.seats[(digest % u64::from(SEATS)) as usize]
+        &self.seats[(digest % self.seats.len() as u64) as usize]
     }
 
     /// Answers a node's question, when so many nodes are listed.
@@ -129,27 +190,19 @@
     quota: TenantQuota,
     until: Timestamp,
 ) -> Result<OperationLeave, Refused> {
-    let quotas = &context.quotas;
-    let taken = quotas.ledger().take(tenant, context.clock.now());
-    let leave = match taken {
-        Taken::Leave(leave) => leave,
-        Taken::Limited(pause) => return Err(Refused::OverQuota(pause)),
-        Taken::Ask => {
-            let asked = quotas.seat(tenant).ask(tenant, quota);
-            await_leave(context, asked, until).await?
-        }
-    };
+    let taken = context.quotas.take(&context.clock, tenant, quota, until);
+    let leave = taken.await?;
     let tenant = Arc::clone(tenant);
     Ok(OperationLeave { tenant, leave })
 }
 
 async fn await_leave(
-    context: &Context,
+    clock: &Clock,
     asked: oneshot::Receiver<Result<Leave, Refused>>,
     until: Timestamp,
 ) -> Result<Leave, Refused> {
     let unreached = Refused::NoAuthority(UNREACHED_PAUSE);
-    let limit = context.clock.instant(until);
+    let limit = clock.instant(until);
     let answered = tokio::time::timeout_at(limit, asked).await;
     answered.map_err(|_| unreached)?.map_err(|_| unreached)?
 }
@@ -168,13 +221,15 @@
         return None;
     }
     let nodes = context.homes.listed_count();
-    let answer = context.quotas.answer(question, nodes, context.clock.now());
+    let quotas = Quotas::of_seat(context, question.seat);
+    let answer = quotas.answer(question, nodes, context.clock.now());
     Some(answer)
 }
 
 /// Starts asking the authorities of all seats for what clients wait for.
 pub fn start_seats(context: &Arc<Context>) {
-    for seat in &context.quotas.seats {
+    let cold_seats = &context.cold.leaves.seats;
+    for seat in context.quotas.seats.iter().chain(cold_seats) {
         tokio::spawn(Arc::clone(seat).run(Arc::clone(context)));
     }
 }
--- a/crates/spurpier-pipeline/src/quota/seat.rs
+++ b/crates/spurpier-pipeline/src/quota/seat.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 
-use super::{LeaveAnswer, LeaveQuestion, Refused, TenantQuota, UNREACHED_PAUSE};
+use super::{LeaveAnswer, LeaveQuestion, Quotas, Refused, TenantQuota, UNREACHED_PAUSE};
 use crate::context::Context;
 use crate::forward::{Call, Outcome, Reply};
 use crate::homes::PeerNode;
@@ -99,9 +99,8 @@
 
     /// Whether there are tenants to count and the authority was not asked a short time ago.
     fn is_vote_due(&self, context: &Context) -> bool {
-        let has_quotas = context.in_force().is_some_and(|known| known.has_quotas());
         let asked_for = self.choice().asked_for(context.clock.now());
-        has_quotas && asked_for.is_none_or(|time| time >= VOTE_INTERVAL)
+        Quotas::is_used(context, self.index) && asked_for.is_none_or(|time| time >= VOTE_INTERVAL)
     }
 
     /// Asks for all that wait, and tells each how it ended.
@@ -129,7 +128,9 @@
                         tokio::time::sleep(MINORITY_WAIT).await;
                         continue;
                     }
-                    return tell_granted(context, waiting, &answer, asked_at);
+                    let quotas = Quotas::of_seat(context, self.index);
+                    let now = context.clock.now();
+                    return tell_granted(quotas, waiting, &answer, asked_at, now);
                 }
                 Asked::Left => self.choice().note_left(&authority.name),
                 Asked::Lost => break,
@@ -205,22 +206,28 @@
     }
 }
 
-fn tell_granted(context: &Context, waiting: Waiting, answer: &LeaveAnswer, asked_at: Timestamp) {
+fn tell_granted(
+    quotas: &Quotas,
+    waiting: Waiting,
+    answer: &LeaveAnswer,
+    asked_at: Timestamp,
+    now: Timestamp,
+) {
     for ((tenant, waiters), grant) in waiting.into_iter().zip(answer.grants()) {
-        tell_tenant(context, &tenant, waiters, grant, asked_at);
+        tell_tenant(quotas, &tenant, waiters, grant, asked_at, now);
     }
 }
 
 fn tell_tenant(
-    context: &Context,
+    quotas: &Quotas,
     tenant: &str,
     waiters: Waiters,
     grant: Grant,
     asked_at: Timestamp,
+    now: Timestamp,
 ) {
-    let now = context.clock.now();
     let count = u32::try_from(waiters.senders.len()).unwrap_or(u32::MAX);
-    let mut ledger = context.quotas.ledger();
+    let mut ledger = quotas.ledger();
     let leaves = ledger.note_grant(tenant, grant, count, asked_at, now);
     let mut leaves = leaves.into_iter();
     for sender in waiters.senders {
--- a/crates/spurpier-pipeline/src/server/connection.rs
+++ b/crates/spurpier-pipeline/src/server/connection.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 
 use super::pool::Target;
+use crate::places::{ColdGate, NoLeave, Patience};
 use crate::ports::{
     Answer, Completion, ErrorClass, ServerDialect, ServerError, ServerMessage, ServerRequest,
     TransactionState,
@@ -33,6 +34,8 @@
     Unreachable,
     /// The server refused.
     Refused(ErrorClass),
+    /// The server is cold, and no leave to send to it was given.
+    Cold(NoLeave),
 }
 
 /// Why an exchange gave no answer; the connection is of no more use.
@@ -42,6 +45,9 @@
     NotSent,
     /// The statement may have run.
     Unclear,
+    /// The server is cold, and no leave to send to it was given: nothing was sent, and the
+    /// connection is of use still.
+    Cold(NoLeave),
 }
 
 impl fmt::Display for ExchangeError {
@@ -49,6 +55,7 @@
         formatter.write_str(match self {
             ExchangeError::NotSent => "the connection was closed before the statement was sent",
             ExchangeError::Unclear => "the connection broke and the statement may have run",
+            ExchangeError::Cold(_) => "the server is cold and takes no more for now",
         })
     }
 }
@@ -58,6 +65,10 @@
 pub struct ServerConnection {
     stream: TcpStream,
     dialect: Arc<dyn ServerDialect>,
+    /// Passed with each message that is sent.
+    gate: Arc<ColdGate>,
+    /// Whether all that was sent since the last statement only prepared the connection.
+    is_prepared: bool,
     input: BytesMut,
     output: BytesMut,
     /// Answers of the proxy's own statements that have not been read yet.
@@ -90,6 +101,8 @@
         let mut connection = ServerConnection {
             stream,
             dialect,
+            gate: Arc::clone(&target.gate),
+            is_prepared: false,
             input: BytesMut::new(),
             output: BytesMut::new(),
             unread: 0,
@@ -111,6 +124,8 @@
             instance: &target.instance,
         };
         self.dialect.encode(&request, &mut self.output);
+        let passed = self.gate.pass(Patience::Refused).await;
+        passed.map_err(OpenError::Cold)?;
         self.flush().await.map_err(|_| OpenError::Unreachable)?;
         loop {
             let message = self.next_message().await;
@@ -121,6 +136,7 @@
             }
         }
         self.busy = false;
+        self.is_prepared = true;
         Ok(())
     }
 
@@ -170,9 +186,11 @@
     ///
     /// # Errors
     ///
-    /// [`ExchangeError`].
+    /// [`ExchangeError`]; the transaction is dropped then as its connection is closed.
     pub async fn roll_back(&mut self) -> Result<(), ExchangeError> {
         self.busy = true;
+        let passed = self.gate.pass(Patience::Refused).await;
+        passed.map_err(ExchangeError::Cold)?;
         self.queue_rollback();
         let sent = self.flush().await;
         sent.map_err(|_| ExchangeError::Unclear)?;
@@ -196,6 +214,12 @@
             self.busy = true;
             return Err(ExchangeError::NotSent);
         }
+        let passed = self.gate.pass(self.patience(request)).await;
+        passed.map_err(ExchangeError::Cold)?;
+        // A cold server takes each message by a leave of its own; closing the connection drops the
+        // transaction without one.
+        let behind = behind.filter(|_| !self.gate.is_counted());
+        self.is_prepared = is_preparing(request);
         self.busy = true;
         self.dialect.encode(request, &mut self.output);
         let earlier = self.unread;
@@ -219,6 +243,15 @@
         Ok(answer)
     }
 
+    /// How a message waits for leave to send it to a cold server.
+    fn patience(&self, request: &ServerRequest<'_>) -> Patience {
+        match request {
+            _ if self.state != TransactionState::Idle => Patience::Transaction,
+            _ if self.is_prepared || is_question(request) => Patience::Prepared,
+            _ => Patience::Refused,
+        }
+    }
+
     /// Reads the answer of an own statement, which must leave no transaction open.
     async fn skip_answer(&mut self) -> Result<(), ExchangeError> {
         let answer = self.read_answer().await;
@@ -279,6 +312,25 @@
     }
 }
 
+/// Whether it makes a session known to the connection, ahead of a statement.
+fn is_preparing(request: &ServerRequest<'_>) -> bool {
+    matches!(
+        request,
+        ServerRequest::Set { .. } | ServerRequest::Prepare { .. } | ServerRequest::Reset
+    )
+}
+
+/// Whether it serves a change of the primary.
+fn is_question(request: &ServerRequest<'_>) -> bool {
+    matches!(
+        request,
+        ServerRequest::Status
+            | ServerRequest::Pause { .. }
+            | ServerRequest::Resume
+            | ServerRequest::StepDown { .. }
+    )
+}
+
 /// An answer without an outcome says nothing of what was run.
 fn no_outcome() -> ServerError {
     ServerError {
--- a/crates/spurpier-pipeline/src/server/mod.rs
+++ b/crates/spurpier-pipeline/src/server/mod.rs
@@ -18,6 +18,7 @@
 
 use crate::clock::Clock;
 use crate::events;
+use crate::places::ColdGate;
 use crate::ports::{ServerEntry, ServerRole};
 
 /// What the directory last said of a server.
@@ -88,6 +89,11 @@
         listing.gone && !listing.is_staying(self.clock.now())
     }
 
+    /// What each message to it passes, and until when it is cold.
+    pub fn gate(&self) -> &Arc<ColdGate> {
+        self.pool.gate()
+    }
+
     /// Whether it says that it leads the group.
     pub fn claims_lead(&self) -> bool {
         self.listing().entry.role == ServerRole::Primary
--- a/crates/spurpier-pipeline/src/server/pool/mod.rs
+++ b/crates/spurpier-pipeline/src/server/pool/mod.rs
@@ -20,6 +20,7 @@
 use self::opening::Opening;
 use super::connection::{OpenError, ServerConnection, Values};
 use crate::clock::Clock;
+use crate::places::ColdGate;
 use crate::ports::{ErrorClass, ServerDialect};
 use crate::tenant::UNNAMED_CALLER;
 
@@ -44,6 +45,8 @@
     pub group: String,
     /// Its name.
     pub instance: String,
+    /// Passed with each message that is sent to it.
+    pub gate: Arc<ColdGate>,
 }
 
 /// What a unit needs of a connection.
@@ -157,6 +160,11 @@
         })
     }
 
+    /// What each message to the server passes.
+    pub fn gate(&self) -> &Arc<ColdGate> {
+        &self.target.gate
+    }
+
     /// Whether units wait for connections although as many as allowed are open.
     pub fn is_crowded(&self) -> bool {
         let inner = self.lock();
--- a/crates/spurpier-pipeline/src/unit/attempt.rs
+++ b/crates/spurpier-pipeline/src/unit/attempt.rs
@@ -10,6 +10,7 @@
 use super::Unit;
 use super::work::Work;
 use crate::clock::Clock;
+use crate::places::NoLeave;
 use crate::ports::{Answer, ErrorClass, ServerRequest};
 use crate::server::{ExchangeError, Lease, Server, ServerConnection, Values};
 
@@ -27,6 +28,8 @@
     Broken,
     /// No answer came in time; the statement may have run or may run yet.
     Silent,
+    /// The server is cold, and no leave was given; nothing was sent.
+    Cold(NoLeave),
 }
 
 impl From<ExchangeError> for Failure {
@@ -34,6 +37,7 @@
         match error {
             ExchangeError::NotSent => Failure::NotSent,
             ExchangeError::Unclear => Failure::Broken,
+            ExchangeError::Cold(no_leave) => Failure::Cold(no_leave),
         }
     }
 }
@@ -227,7 +231,10 @@
 ) -> Result<(), Failure> {
     let answer = connection.exchange(request).await;
     // Nothing of the client's has been sent yet.
-    let answer = answer.map_err(|_| Failure::NotSent)?;
+    let answer = answer.map_err(|error| match error {
+        ExchangeError::Cold(no_leave) => Failure::Cold(no_leave),
+        ExchangeError::NotSent | ExchangeError::Unclear => Failure::NotSent,
+    })?;
     match answer.error_class() {
         None => Ok(()),
         Some(class) => Err(Failure::Refused(class)),
@@ -270,6 +277,7 @@
             server.note_answer(sent_at);
             (Some(place), Ok(Answered { answer, sent_at }))
         }
+        Some((_, Err(failure @ Failure::Cold(_)))) => (None, Err(failure)),
         Some((_, Err(failure))) => {
             server.note_silence(clock);
             (None, Err(failure))
--- a/crates/spurpier-pipeline/src/unit/lead.rs
+++ b/crates/spurpier-pipeline/src/unit/lead.rs
@@ -7,10 +7,11 @@
 use spurpier_core::position::Position;
 use spurpier_core::time::Timestamp;
 
-use super::attempt::{Place, own_attempt};
+use super::attempt::{Failure, Place, own_attempt};
 use super::{NotRun, Unit};
 use crate::context::Context;
 use crate::group::Group;
+use crate::places::Bar;
 use crate::ports::{ErrorClass, ServerRequest, TransactionState};
 use crate::server::{AcquireError, ConnectionNeed, OpenError, Server, Values};
 
@@ -57,6 +58,7 @@
                     tokio::time::sleep(REFUSAL_PAUSE).await;
                     missing = NotRun::NoConnection;
                 }
+                Err(AcquireError::Open(OpenError::Cold(no_leave))) => return Err(no_leave.into()),
                 Err(AcquireError::Open(_)) => {
                     server.note_silence(clock);
                     group.note_denial(&server, clock.now());
@@ -114,6 +116,7 @@
                     NotRun::ServerBusy
                 }
             },
+            (_, Err(Failure::Cold(no_leave))) => return Err(no_leave.into()),
             (_, Err(_)) => NotRun::NoLead,
         };
         if clock.now() >= until {
@@ -141,8 +144,7 @@
         if let Some(_turn) = group.start_proving() {
             let values = Values::new();
             let need = ConnectionNeed::own(&values);
-            let begun = begin_on_lead(context, group, need, &AllowedRegions::ANYWHERE, until).await;
-            let mut begun = begun?;
+            let mut begun = begin_patiently(context, group, need, until).await?;
             if let Ok(connection) = begun.place.connection() {
                 // A connection that breaks here is closed when the place is dropped.
                 let _ = connection.roll_back().await;
@@ -157,6 +159,25 @@
     }
 }
 
+/// As [`begin_on_lead`], for a proof that many reads share: where a cold lead takes no more for
+/// now, it is asked again, so that reads on warm replicas need not be refused.
+async fn begin_patiently(
+    context: &Context,
+    group: &Group,
+    need: ConnectionNeed<'_>,
+    until: Timestamp,
+) -> Result<Begun, NotRun> {
+    loop {
+        let begun = begin_on_lead(context, group, need, &AllowedRegions::ANYWHERE, until).await;
+        match begun {
+            Err(NotRun::Barred(Bar::Cold(pause))) if context.clock.now() + pause < until => {
+                tokio::time::sleep(pause).await;
+            }
+            begun => return begun,
+        }
+    }
+}
+
 impl Unit {
     /// As [`begin_on_lead`], for this unit.
     pub async fn begin_on_lead(&self, until: Timestamp) -> Result<Begun, NotRun> {
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -33,7 +33,7 @@
 use crate::forward::{CalledAnswer, millis};
 use crate::group::Group;
 use crate::homes::PeerNode;
-use crate::places::Bar;
+use crate::places::{Bar, NoLeave};
 use crate::ports::{Answer, Effect, ErrorClass, FreshnessKind, Route, TransactionState};
 use crate::quota::Refused;
 use crate::server::{ConnectionNeed, Server, Values};
@@ -115,6 +115,12 @@
     }
 }
 
+impl From<NoLeave> for NotRun {
+    fn from(no_leave: NoLeave) -> Self {
+        NotRun::Barred(Bar::from(no_leave))
+    }
+}
+
 impl From<Refused> for NotRun {
     fn from(refused: Refused) -> Self {
         match refused {
--- a/crates/spurpier-pipeline/src/unit/read.rs
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -81,8 +81,7 @@
             if self.context.clock.now() >= self.times.give_up {
                 return self.doubt(&work.id, ErrorClass::Timeout, &server.instance);
             }
-            // A replica that is behind is no failure.
-            if refused != NotRun::NoFreshServer && !self.context.may_retry() {
+            if is_failure(refused) && !self.context.may_retry() {
                 break;
             }
             if refused == NotRun::NoFreshServer && self.is_lead(&server) {
@@ -109,6 +108,7 @@
                 Some(class) if class.is_not_run() => (class, "refused"),
                 _ => return Ok(answer),
             },
+            Err(Failure::Cold(no_leave)) => return Err(no_leave.into()),
             Err(Failure::Refused(class)) => (class, "refused"),
             Err(Failure::NotSent | Failure::Broken) => (ErrorClass::Other, "broken"),
             Err(Failure::Silent) => (ErrorClass::Other, "silent"),
@@ -166,17 +166,23 @@
         let lead = self.group.lead().map(|lead| lead.instance.clone());
         let leads = |server: &Server| lead.as_deref() == Some(server.instance.as_str());
         let now = self.context.clock.now();
-        let loads: Vec<_> = servers
-            .iter()
-            .map(|server| {
-                let load = server.load(leads(server));
-                ServerLoad {
-                    takes_reads: load.takes_reads && self.bar_to_read(server, now).is_none(),
-                    ..load
-                }
-            })
-            .collect();
-        choose_read_server(&loads, excluded, floor, now)
+        let choose = |is_usable: &dyn Fn(&Server) -> bool| {
+            let loads: Vec<_> = servers
+                .iter()
+                .map(|server| {
+                    let load = server.load(leads(server));
+                    ServerLoad {
+                        takes_reads: load.takes_reads && is_usable(server),
+                        ..load
+                    }
+                })
+                .collect();
+            choose_read_server(&loads, excluded, floor, now)
+        };
+        // A warm server goes first: a cold one is slow, and takes only what no warm one can run.
+        let is_open = |server: &Server| self.bar_to_read(server, now).is_none();
+        let is_warm = |server: &Server| !server.gate().is_cold(now) && is_open(server);
+        choose(&is_warm).or_else(|| choose(&is_open))
     }
 
     /// Why a read must not go to a server now; none if it may.
@@ -266,6 +272,7 @@
             Err(AcquireError::Open(OpenError::Refused(class))) => {
                 Err(self.note_refusal(&server, class))
             }
+            Err(AcquireError::Open(OpenError::Cold(no_leave))) => Err(no_leave.into()),
             Err(AcquireError::Open(OpenError::Unreachable)) => {
                 server.note_silence(clock);
                 Err(NotRun::ServerBusy)
@@ -274,6 +281,15 @@
     }
 }
 
+/// Whether a further attempt is one after a failure. A replica that is behind is none, nor is a cold
+/// server that takes no more for now.
+fn is_failure(refused: NotRun) -> bool {
+    !matches!(
+        refused,
+        NotRun::NoFreshServer | NotRun::Barred(Bar::Cold(_))
+    )
+}
+
 /// An answer in the words of a session that stands outside a transaction.
 fn outside_transaction(mut answer: Answer) -> Answer {
     answer.state = TransactionState::Idle;
--- a/crates/spurpier-pipeline/src/unit/transaction.rs
+++ b/crates/spurpier-pipeline/src/unit/transaction.rs
@@ -10,6 +10,7 @@
 use super::work::Work;
 use super::{Done, NotRun, Unit};
 use crate::ports::{Answer, ErrorClass, TransactionState};
+use crate::server::ExchangeError;
 
 /// Servers that the opening of a read-only transaction tries.
 const ATTEMPTS: usize = 4;
@@ -123,7 +124,7 @@
                 }
                 Done { answer, committed }
             }
-            Err(Failure::NotSent | Failure::Refused(_)) => {
+            Err(Failure::NotSent | Failure::Refused(_) | Failure::Cold(_)) => {
                 let mut answer = unit.abort(&work.id, &server.instance, "NotSent");
                 answer.state = TransactionState::Idle;
                 Done::answer(answer)
@@ -180,7 +181,10 @@
         let connection = begun.place.connection();
         let connection = connection.map_err(|_| NotRun::NoLead)?;
         let dropped = connection.roll_back().await;
-        dropped.map_err(|_| NotRun::NoLead)?;
+        dropped.map_err(|error| match error {
+            ExchangeError::Cold(no_leave) => no_leave.into(),
+            ExchangeError::NotSent | ExchangeError::Unclear => NotRun::NoLead,
+        })?;
         let limit = self.opening_end();
         self.open_behind(begun.place, work, after(begun.position), limit)
             .await
@@ -207,6 +211,7 @@
                 Err(self.note_refusal(&server, class.unwrap_or(ErrorClass::Other)))
             }
             (_, Err(Failure::Refused(class))) => Err(self.note_refusal(&server, class)),
+            (_, Err(Failure::Cold(no_leave))) => Err(no_leave.into()),
             (_, Err(_)) => Err(NotRun::NoServer),
         }
     }
--- a/crates/spurpier-pipeline/src/unit/write.rs
+++ b/crates/spurpier-pipeline/src/unit/write.rs
@@ -38,6 +38,9 @@
                     Some(class) if class.is_not_run() => class,
                     Some(_) => return Done::answer(answer),
                 },
+                Err(Failure::Cold(no_leave)) => {
+                    return Done::answer(self.refuse(&work.id, no_leave.into()));
+                }
                 Err(Failure::Refused(class)) => class,
                 Err(Failure::NotSent) => ErrorClass::Misrouted,
                 Err(Failure::Broken | Failure::Silent) => {
