--- a/crates/spurpier-pipeline/src/events.rs
+++ b/crates/spurpier-pipeline/src/events.rs
@@ -24,8 +24,6 @@
     REQUEST_RETRIED = 6032, "request_retried", Info, "a statement is tried again", "none if rare";
     CLIENT_VIOLATION = 6033, "pipeline_client_violation", Warn, "a client sent bytes that violate the protocol and was closed", "find out what connects from there";
     NODE_LOST = 6034, "node_lost", Warn, "a listed node could not be reached for long and is taken off the list", "see the node; one that is only cut off lists itself again";
-    SERVER_COLD = 6130, "server_cold", Info, "a server is cold; where its group has a cold rate, messages to it are counted over all nodes", "none";
-    SERVER_WARM = 6131, "server_warm", Info, "a server that was cold is warm again and takes any number of messages", "none";
     DUTY_TAKEN = 6040, "duty_taken", Info, "this node holds the promotion duty under a new token", "none";
     DUTY_REFUSED = 6041, "duty_refused", Info, "another node holds the promotion duty or was faster", "none";
     PROMOTION_SENT = 6042, "promotion_sent", Warn, "a server is told to take over its group", "see why the former primary was lost, unless it was leaving";
@@ -33,4 +31,6 @@
     PRIMARY_SUSPECTED = 6044, "primary_suspected", Warn, "the primary of a group does not answer this node", "see the server and the way to it";
     SUCCESSION_KNOWN = 6045, "succession_known", Info, "a server takes over its group, and no other is used as the lead from now on", "none if planned";
     NODES_AWAITED = 6046, "nodes_awaited", Warn, "nodes that may still use a former primary do not answer; its successor waits until their leases have ended", "see the nodes that are named";
+    SERVER_COLD = 6130, "server_cold", Info, "a server is cold; where its group has a cold rate, messages to it are counted over all nodes", "none";
+    SERVER_WARM = 6131, "server_warm", Info, "a server that was cold is warm again and takes any number of messages", "none";
 }
--- a/crates/spurpier-pipeline/src/unit/read.rs
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -179,10 +179,13 @@
                 .collect();
             choose_read_server(&loads, excluded, floor, now)
         };
-        // A warm server goes first: a cold one is slow, and takes only what no warm one can run.
+        // A warm server goes first: a cold one is slow, and takes what no warm one is ready for.
         let is_open = |server: &Server| self.bar_to_read(server, now).is_none();
-        let is_warm = |server: &Server| !server.gate().is_cold(now) && is_open(server);
-        choose(&is_warm).or_else(|| choose(&is_open))
+        let is_ready = |server: &Server| server.health().avoided_until <= now && is_open(server);
+        let is_ready_warm = |server: &Server| !server.gate().is_cold(now) && is_ready(server);
+        choose(&is_ready_warm)
+            .or_else(|| choose(&is_ready))
+            .or_else(|| choose(&is_open))
     }
 
     /// Why a read must not go to a server now; none if it may.
