--- a/crates/spurpier-core/src/places/evacuation.rs
+++ b/crates/spurpier-core/src/places/evacuation.rs
@@ -102,6 +102,11 @@
         told_before.map_or(Timestamp::ZERO, |told_before| told_before + left)
     }
 
+    /// The store's version at which the rows were first known; none while nothing is known.
+    pub fn first_version(&self) -> Option<u64> {
+        self.first_version
+    }
+
     /// What may be sent to the servers of a zone.
     pub fn phase(&self, zone: &str, now: Timestamp) -> Phase {
         match self.closes_at(zone) {
--- a/crates/spurpier-pipeline/src/directory.rs
+++ b/crates/spurpier-pipeline/src/directory.rs
@@ -11,6 +11,7 @@
 use crate::events;
 use crate::follow::RowSink;
 use crate::group::Group;
+use crate::places::ColdGate;
 use crate::ports::{Row, ServerEntry};
 use crate::server::{Listing, Pool, Server, Target};
 
@@ -53,12 +54,15 @@
             zone = entry.zone,
             role = format!("{:?}", entry.role)
         );
+        let zone_gate = context.places.evacuations.gate(&entry.zone);
         let target = Target {
             address: entry.address,
             group: entry.group.clone(),
             instance: entry.instance.clone(),
-            gate: context.places.evacuations.gate(&entry.zone),
+            zone_gate: Arc::clone(&zone_gate),
+            cold_gate: ColdGate::new(&context.cold, &entry, zone_gate),
         };
+        target.cold_gate.note_entry(entry.cold_for, version);
         let dialect = Arc::clone(&context.server_dialect);
         let limit = connection_share(context, &group.name, &entry.zone);
         let clock = context.clock.clone();
@@ -78,6 +82,7 @@
 
     fn update(&self, group: &Group, server: &Server, entry: ServerEntry, version: u64) {
         let (draining, role) = (entry.draining, entry.role);
+        server.pool.cold_gate().note_entry(entry.cold_for, version);
         let begins_to_leave = {
             let mut listing = server.listing();
             if version < listing.version {
--- a/crates/spurpier-pipeline/src/duty/evacuation.rs
+++ b/crates/spurpier-pipeline/src/duty/evacuation.rs
@@ -75,7 +75,7 @@
         if await_position(context, heir, status.received, RECEIVING_LIMIT).await {
             return true;
         }
-        let closes_in = former.pool.gate().closes_in();
+        let closes_in = former.pool.zone_gate().closes_in();
         closes_in.is_some_and(|closes_in| closes_in <= LAST_STEP_DOWN)
     }
 
@@ -171,7 +171,7 @@
     }
 
     async fn required_by(&mut self, server: &Arc<Server>) -> Required {
-        match server.pool.gate().phase() {
+        match server.pool.zone_gate().phase() {
             Phase::Open => Required::Nothing,
             Phase::Leaving => match status_of(&self.context, server).await {
                 Some(status) => {
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -20,7 +20,7 @@
 use crate::context::Context;
 use crate::events;
 use crate::group::Group;
-use crate::places::MoveReason;
+use crate::places::{Bar, MoveReason};
 use crate::ports::{PromotionAnswer, StoreError};
 use crate::server::Server;
 use crate::unit::{NotRun, renew_proof};
@@ -167,7 +167,7 @@
         if self.group.servers().is_empty() {
             return Need::Nothing;
         }
-        if let Err(NotRun::Barred(_)) = proven
+        if let Err(NotRun::Barred(Bar::Evacuated)) = proven
             && let Some(barred) = self.candidate()
             && !is_lost(&barred)
         {
@@ -178,10 +178,13 @@
         if self.has_no_lead() {
             return Need::Replacement(None);
         }
-        if proven == Err(NotRun::NoConnection)
-            && !lead.is_some_and(|lead| lead.health().is_silent())
-        {
-            // All connections are at work: that tells of load, not of a lost primary.
+        let is_load = matches!(
+            proven,
+            Err(NotRun::NoConnection | NotRun::Barred(Bar::Cold(_)))
+        );
+        if is_load && !lead.is_some_and(|lead| lead.health().is_silent()) {
+            // All connections are at work, or a cold primary takes no more for now: that tells of
+            // load, not of a lost primary.
             return Need::Patience;
         }
         let missing_since = *self.missing_since.get_or_insert(started);
--- a/crates/spurpier-pipeline/src/places/evacuations.rs
+++ b/crates/spurpier-pipeline/src/places/evacuations.rs
@@ -44,7 +44,11 @@
     /// it had told of the rows as they were known before.
     pub fn take(&self, zones: &BTreeSet<String>, version: u64, told_before: Option<Timestamp>) {
         let mut inner = self.lock();
+        let is_first = inner.known.first_version().is_none();
         let changes = inner.known.take(zones, version, told_before);
+        if is_first || !changes.taken_back.is_empty() {
+            inner.note_taken_back();
+        }
         if changes.is_empty() {
             return;
         }
@@ -72,16 +76,6 @@
         self.lock().gate(zone, &self.clock)
     }
 
-    /// The store's version up to which the servers' table must be known before a server of a zone
-    /// is used that may have turned cold; none while nothing is known of evacuations.
-    ///
-    /// An entry from before the zone was taken back may tell of a server that has turned cold since
-    /// that it is warm.
-    #[expect(dead_code, reason = "cold servers are not counted yet")]
-    pub fn taken_back_at(&self, zone: &str) -> Option<u64> {
-        self.lock().known.taken_back_at(zone)
-    }
-
     /// The evacuated zones, and from when on nothing more may be sent to each.
     pub fn zones(&self) -> Vec<(String, Timestamp)> {
         let inner = self.lock();
@@ -102,12 +96,21 @@
 }
 
 impl Inner {
+    /// Tells the gates when their zones were taken back: an entry from before may tell of a server
+    /// that has turned cold since that it is warm.
+    fn note_taken_back(&mut self) {
+        for (zone, gate) in &self.gates {
+            gate.set_taken_back_at(self.known.taken_back_at(zone).unwrap_or(0));
+        }
+    }
+
     fn gate(&mut self, zone: &str, clock: &Clock) -> Arc<ZoneGate> {
         if let Some(gate) = self.gates.get(zone) {
             return Arc::clone(gate);
         }
         let gate = Arc::new(ZoneGate::new(clock.clone()));
         gate.set(self.known.closes_at(zone));
+        gate.set_taken_back_at(self.known.taken_back_at(zone).unwrap_or(0));
         self.gates.insert(zone.to_owned(), Arc::clone(&gate));
         gate
     }
--- a/crates/spurpier-pipeline/src/places/gate.rs
+++ b/crates/spurpier-pipeline/src/places/gate.rs
@@ -20,6 +20,8 @@
     clock: Clock,
     /// When it closes, in microseconds of the clock.
     closes_at: AtomicU64,
+    /// The store's version as of which the zone was last known to be taken back; 0 before any.
+    taken_back_at: AtomicU64,
 }
 
 impl ZoneGate {
@@ -28,6 +30,7 @@
         ZoneGate {
             clock,
             closes_at: AtomicU64::new(NEVER),
+            taken_back_at: AtomicU64::new(0),
         }
     }
 
@@ -37,6 +40,18 @@
         self.closes_at.store(closes_at, Ordering::Relaxed);
     }
 
+    /// Takes in the store's version as of which the zone was last known to be taken back.
+    pub fn set_taken_back_at(&self, version: u64) {
+        self.taken_back_at.store(version, Ordering::Release);
+    }
+
+    /// The store's version up to which the servers' entries must be known before a server of the
+    /// zone is used that may have turned cold; none while nothing is known of evacuations.
+    pub fn taken_back_at(&self) -> Option<u64> {
+        let version = self.taken_back_at.load(Ordering::Acquire);
+        (version > 0).then_some(version)
+    }
+
     /// For how long something may still be sent; none if the zone is not evacuated.
     pub fn closes_in(&self) -> Option<Duration> {
         match self.closes_at.load(Ordering::Relaxed) {
--- a/crates/spurpier-pipeline/src/places/mod.rs
+++ b/crates/spurpier-pipeline/src/places/mod.rs
@@ -4,6 +4,7 @@
 //! handed on, a further attempt, and a transaction's next statement.
 
 mod closing;
+mod cold;
 mod evacuations;
 mod gate;
 
@@ -14,6 +15,7 @@
 use spurpier_core::time::Timestamp;
 
 pub use self::closing::close_evacuated;
+pub use self::cold::{ColdGate, ColdServers, NoLeave, Patience};
 pub use self::evacuations::FollowedEvacuations;
 pub use self::gate::ZoneGate;
 use crate::clock::Clock;
@@ -28,8 +30,6 @@
 /// When a client should come back that only a server of an evacuated zone could serve: about how
 /// long a primary's replacement takes.
 const EVACUATION_RETRY: Duration = Duration::from_millis(600);
-/// When a client should come back that only a cold server could serve.
-const COLD_RETRY: Duration = Duration::from_millis(250);
 
 /// Why a server or a home may not be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,9 +38,14 @@
     Region,
     /// Its zone is evacuated.
     Evacuated,
-    /// It is cold and takes no more for now.
-    #[expect(dead_code, reason = "cold servers are not counted yet")]
-    Cold,
+    /// It is cold and takes no more for so long.
+    Cold(Duration),
+}
+
+impl From<NoLeave> for Bar {
+    fn from(NoLeave(pause): NoLeave) -> Self {
+        Bar::Cold(pause)
+    }
 }
 
 impl Bar {
@@ -49,7 +54,7 @@
         match self {
             Bar::Region => "region_not_allowed",
             Bar::Evacuated => "zone_evacuated",
-            Bar::Cold => "server_cold",
+            Bar::Cold(_) => "server_cold",
         }
     }
 
@@ -58,7 +63,7 @@
         match self {
             Bar::Region => REGION_RETRY,
             Bar::Evacuated => EVACUATION_RETRY,
-            Bar::Cold => COLD_RETRY,
+            Bar::Cold(pause) => pause,
         }
     }
 }
@@ -124,11 +129,14 @@
         self.bar(allowed, lead, now)
     }
 
-    fn bar(&self, allowed: &AllowedRegions, server: &Server, _now: Timestamp) -> Option<Bar> {
+    fn bar(&self, allowed: &AllowedRegions, server: &Server, now: Timestamp) -> Option<Bar> {
         if !allowed.is_anywhere() && !self.allows(allowed, &server.listing().entry.zone) {
             return Some(Bar::Region);
         }
-        server.pool.gate().is_closed().then_some(Bar::Evacuated)
+        if server.pool.zone_gate().is_closed() {
+            return Some(Bar::Evacuated);
+        }
+        server.pool.cold_gate().closed_for(now).map(Bar::Cold)
     }
 
     /// Why a group's primary, which serves, is to be replaced; none if it is to stay.
@@ -150,8 +158,8 @@
     }
 
     /// How well a server's place fits as that of its group's primary; the greater one goes first
-    /// among servers that have received as much.
-    pub fn fit(&self, _group: &Group, _server: &Server, _now: Timestamp) -> u64 {
-        0
+    /// among servers that have received as much: a cold one is slow, and may take few requests.
+    pub fn fit(&self, _group: &Group, server: &Server, now: Timestamp) -> u64 {
+        u64::from(!server.is_cold(now))
     }
 }
--- a/crates/spurpier-pipeline/src/server/connection.rs
+++ b/crates/spurpier-pipeline/src/server/connection.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 
 use super::pool::Target;
-use crate::places::ZoneGate;
+use crate::places::{ColdGate, NoLeave, Patience, ZoneGate};
 use crate::ports::{
     Answer, Completion, ErrorClass, ServerDialect, ServerError, ServerMessage, ServerRequest,
     TransactionState,
@@ -36,6 +36,8 @@
     Refused(ErrorClass),
     /// Nothing may be sent to its zone.
     Closed,
+    /// The server is cold, and no leave to send to it was given.
+    Cold(NoLeave),
 }
 
 /// Why an exchange gave no answer; the connection is of no more use.
@@ -45,6 +47,9 @@
     NotSent,
     /// The statement may have run.
     Unclear,
+    /// The server is cold, and no leave to send to it was given: nothing was sent, and the
+    /// connection is of use still.
+    Cold(NoLeave),
 }
 
 impl fmt::Display for ExchangeError {
@@ -52,6 +57,7 @@
         formatter.write_str(match self {
             ExchangeError::NotSent => "nothing was sent",
             ExchangeError::Unclear => "the connection broke and the statement may have run",
+            ExchangeError::Cold(_) => "the server is cold and takes no more for now",
         })
     }
 }
@@ -61,7 +67,12 @@
 pub struct ServerConnection {
     stream: TcpStream,
     dialect: Arc<dyn ServerDialect>,
-    gate: Arc<ZoneGate>,
+    /// Asked before each message that is sent.
+    zone_gate: Arc<ZoneGate>,
+    /// Passed with each message that is sent.
+    cold_gate: Arc<ColdGate>,
+    /// Whether all that was sent since the last statement only prepared the connection.
+    is_prepared: bool,
     input: BytesMut,
     output: BytesMut,
     /// Answers of the proxy's own statements that have not been read yet.
@@ -88,7 +99,7 @@
         dialect: Arc<dyn ServerDialect>,
         caller: &str,
     ) -> Result<Self, OpenError> {
-        if target.gate.is_closed() {
+        if target.zone_gate.is_closed() {
             return Err(OpenError::Closed);
         }
         let stream = TcpStream::connect(target.address).await;
@@ -97,7 +108,9 @@
         let mut connection = ServerConnection {
             stream,
             dialect,
-            gate: Arc::clone(&target.gate),
+            zone_gate: Arc::clone(&target.zone_gate),
+            cold_gate: Arc::clone(&target.cold_gate),
+            is_prepared: false,
             input: BytesMut::new(),
             output: BytesMut::new(),
             unread: 0,
@@ -118,10 +131,12 @@
             caller: &self.caller,
             instance: &target.instance,
         };
-        if self.gate.is_closed() {
+        self.dialect.encode(&request, &mut self.output);
+        let passed = self.cold_gate.pass(Patience::Refused).await;
+        passed.map_err(OpenError::Cold)?;
+        if self.zone_gate.is_closed() {
             return Err(OpenError::Closed);
         }
-        self.dialect.encode(&request, &mut self.output);
         self.flush().await.map_err(|_| OpenError::Unreachable)?;
         loop {
             let message = self.next_message().await;
@@ -132,6 +147,7 @@
             }
         }
         self.busy = false;
+        self.is_prepared = true;
         Ok(())
     }
 
@@ -181,13 +197,10 @@
     ///
     /// # Errors
     ///
-    /// [`ExchangeError`].
+    /// [`ExchangeError`]; the transaction is dropped then as its connection is closed.
     pub async fn roll_back(&mut self) -> Result<(), ExchangeError> {
         self.busy = true;
-        if self.gate.is_closed() {
-            // A connection that is busy is closed, which drops the transaction too.
-            return Err(ExchangeError::NotSent);
-        }
+        self.pass(Patience::Refused).await?;
         self.queue_rollback();
         let sent = self.flush().await;
         sent.map_err(|_| ExchangeError::Unclear)?;
@@ -207,10 +220,15 @@
         request: &ServerRequest<'_>,
         behind: Option<ServerRequest<'static>>,
     ) -> Result<Answer, ExchangeError> {
-        if self.gate.is_closed() || !self.is_alive() {
+        if !self.is_alive() {
             self.busy = true;
             return Err(ExchangeError::NotSent);
         }
+        self.pass(self.patience(request)).await?;
+        // A cold server takes each message by a leave of its own; closing the connection drops the
+        // transaction without one.
+        let behind = behind.filter(|_| !self.cold_gate.is_counted());
+        self.is_prepared = is_preparing(request);
         self.busy = true;
         self.dialect.encode(request, &mut self.output);
         let earlier = self.unread;
@@ -234,6 +252,28 @@
         Ok(answer)
     }
 
+    /// Lets one message pass, which must be sent at once. The zone's gate is asked last: it may
+    /// close while the other one makes the message wait.
+    async fn pass(&mut self, patience: Patience) -> Result<(), ExchangeError> {
+        let passed = self.cold_gate.pass(patience).await;
+        passed.map_err(ExchangeError::Cold)?;
+        if self.zone_gate.is_closed() {
+            // A connection that is busy is closed, which drops its transaction too.
+            self.busy = true;
+            return Err(ExchangeError::NotSent);
+        }
+        Ok(())
+    }
+
+    /// How a message waits for leave to send it to a cold server.
+    fn patience(&self, request: &ServerRequest<'_>) -> Patience {
+        match request {
+            _ if self.state != TransactionState::Idle => Patience::Transaction,
+            _ if self.is_prepared || is_question(request) => Patience::Prepared,
+            _ => Patience::Refused,
+        }
+    }
+
     /// Reads the answer of an own statement, which must leave no transaction open.
     async fn skip_answer(&mut self) -> Result<(), ExchangeError> {
         let answer = self.read_answer().await;
@@ -294,6 +334,25 @@
     }
 }
 
+/// Whether it makes a session known to the connection, ahead of a statement.
+fn is_preparing(request: &ServerRequest<'_>) -> bool {
+    matches!(
+        request,
+        ServerRequest::Set { .. } | ServerRequest::Prepare { .. } | ServerRequest::Reset
+    )
+}
+
+/// Whether it serves a change of the primary.
+fn is_question(request: &ServerRequest<'_>) -> bool {
+    matches!(
+        request,
+        ServerRequest::Status
+            | ServerRequest::Pause { .. }
+            | ServerRequest::Resume
+            | ServerRequest::StepDown { .. }
+    )
+}
+
 /// An answer without an outcome says nothing of what was run.
 fn no_outcome() -> ServerError {
     ServerError {
--- a/crates/spurpier-pipeline/src/server/mod.rs
+++ b/crates/spurpier-pipeline/src/server/mod.rs
@@ -85,7 +85,7 @@
 
     /// Whether its zone is evacuated.
     pub fn is_evacuated(&self) -> bool {
-        self.pool.gate().phase() != Phase::Open
+        self.pool.zone_gate().phase() != Phase::Open
     }
 
     /// Whether the directory has dropped it.
@@ -94,6 +94,11 @@
         listing.gone && !listing.is_staying(self.clock.now())
     }
 
+    /// Whether it is cold.
+    pub fn is_cold(&self, now: Timestamp) -> bool {
+        self.pool.cold_gate().is_cold(now)
+    }
+
     /// Whether it says that it leads the group.
     pub fn claims_lead(&self) -> bool {
         self.listing().entry.role == ServerRole::Primary
@@ -131,7 +136,7 @@
 
     /// Takes in that it did not answer. Once nothing may be sent to its zone, that says nothing of it.
     pub fn note_silence(&self, clock: &Clock) {
-        if self.pool.gate().is_closed() {
+        if self.pool.zone_gate().is_closed() {
             return;
         }
         let silences = {
--- a/crates/spurpier-pipeline/src/server/pool/mod.rs
+++ b/crates/spurpier-pipeline/src/server/pool/mod.rs
@@ -22,7 +22,7 @@
 use self::opening::Opening;
 use super::connection::{OpenError, ServerConnection, Values};
 use crate::clock::Clock;
-use crate::places::ZoneGate;
+use crate::places::{ColdGate, ZoneGate};
 use crate::ports::{ErrorClass, ServerDialect};
 use crate::tenant::UNNAMED_CALLER;
 
@@ -48,7 +48,9 @@
     /// Its name.
     pub instance: String,
     /// The gate in front of its zone.
-    pub gate: Arc<ZoneGate>,
+    pub zone_gate: Arc<ZoneGate>,
+    /// Passed with each message that is sent to it.
+    pub cold_gate: Arc<ColdGate>,
 }
 
 /// What a unit needs of a connection.
@@ -170,8 +172,13 @@
     }
 
     /// The gate in front of the server's zone.
-    pub fn gate(&self) -> &ZoneGate {
-        &self.target.gate
+    pub fn zone_gate(&self) -> &ZoneGate {
+        &self.target.zone_gate
+    }
+
+    /// What each message to the server passes while it is cold.
+    pub fn cold_gate(&self) -> &Arc<ColdGate> {
+        &self.target.cold_gate
     }
 
     /// Whether units wait for connections although as many as allowed are open.
@@ -349,7 +356,7 @@
     fn give_back(&self, connection: ServerConnection) {
         let surplus = {
             let mut inner = self.lock();
-            if inner.total > inner.limit || self.gate().is_closed() {
+            if inner.total > inner.limit || self.zone_gate().is_closed() {
                 inner.total -= 1;
                 Some(connection)
             } else {
--- a/crates/spurpier-pipeline/src/unit/held.rs
+++ b/crates/spurpier-pipeline/src/unit/held.rs
@@ -68,7 +68,7 @@
 
     /// Gives the place back after a statement, unless nothing more may be sent there.
     pub fn put_back(&self, place: Option<Place>) {
-        let place = place.filter(|place| !place.server.pool.gate().is_closed());
+        let place = place.filter(|place| !place.server.pool.zone_gate().is_closed());
         *locked(&self.place) = place;
     }
 }
--- a/crates/spurpier-pipeline/src/unit/read.rs
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -83,8 +83,7 @@
             if self.context.clock.now() >= self.times.give_up {
                 return self.doubt(&work.id, ErrorClass::Timeout, &server.instance);
             }
-            // A replica that is behind is no failure.
-            if refused != NotRun::NoFreshServer && !self.context.may_retry() {
+            if is_failure(refused) && !self.context.may_retry() {
                 break;
             }
             if refused == NotRun::NoFreshServer && self.is_lead(&server) {
@@ -111,6 +110,7 @@
                 Some(class) if class.is_not_run() => (class, "refused"),
                 _ => return Ok(answer),
             },
+            Err(Failure::Cold(no_leave)) => return Err(no_leave.into()),
             Err(Failure::Refused(class)) => (class, "refused"),
             Err(Failure::NotSent | Failure::Broken) => (ErrorClass::Other, "broken"),
             Err(Failure::Silent) => (ErrorClass::Other, "silent"),
@@ -168,22 +168,34 @@
         let lead = self.group.lead().map(|lead| lead.instance.clone());
         let leads = |server: &Server| lead.as_deref() == Some(server.instance.as_str());
         let now = self.context.clock.now();
-        let loads: Vec<_> = servers
-            .iter()
-            .map(|server| {
-                let load = server.load(leads(server));
-                ServerLoad {
-                    takes_reads: load.takes_reads && self.bar_to_read(server, now).is_none(),
-                    avoided_until: if server.is_evacuated() {
-                        NO_END
-                    } else {
-                        load.avoided_until
-                    },
-                    ..load
-                }
-            })
-            .collect();
-        choose_read_server(&loads, excluded, floor, now)
+        let choose = |is_usable: &dyn Fn(&Server) -> bool| {
+            let loads: Vec<_> = servers
+                .iter()
+                .map(|server| {
+                    let load = server.load(leads(server));
+                    ServerLoad {
+                        takes_reads: load.takes_reads && is_usable(server),
+                        avoided_until: if server.is_evacuated() {
+                            NO_END
+                        } else {
+                            load.avoided_until
+                        },
+                        ..load
+                    }
+                })
+                .collect();
+            choose_read_server(&loads, excluded, floor, now)
+        };
+        // A warm server goes first: a cold one is slow, and takes what no warm one is ready for.
+        let is_open = |server: &Server| self.bar_to_read(server, now).is_none();
+        let is_ready = |server: &Server| {
+            let is_avoided = server.is_evacuated() || server.health().avoided_until > now;
+            !is_avoided && is_open(server)
+        };
+        let is_ready_warm = |server: &Server| !server.is_cold(now) && is_ready(server);
+        choose(&is_ready_warm)
+            .or_else(|| choose(&is_ready))
+            .or_else(|| choose(&is_open))
     }
 
     /// Why a read must not go to a server now; none if it may.
@@ -274,6 +286,7 @@
                 Err(self.note_refusal(&server, class))
             }
             Err(AcquireError::Open(OpenError::Closed)) => Err(NotRun::Barred(Bar::Evacuated)),
+            Err(AcquireError::Open(OpenError::Cold(no_leave))) => Err(no_leave.into()),
             Err(AcquireError::Open(OpenError::Unreachable)) => {
                 server.note_silence(clock);
                 Err(NotRun::ServerBusy)
@@ -282,6 +295,15 @@
     }
 }
 
+/// Whether a further attempt is one after a failure. A replica that is behind is none, nor is a cold
+/// server that takes no more for now.
+fn is_failure(refused: NotRun) -> bool {
+    !matches!(
+        refused,
+        NotRun::NoFreshServer | NotRun::Barred(Bar::Cold(_))
+    )
+}
+
 /// An answer in the words of a session that stands outside a transaction.
 fn outside_transaction(mut answer: Answer) -> Answer {
     answer.state = TransactionState::Idle;
