Give a unit's body only to nodes where it may run, and refuse at once what no server may

A home that handed on, a retry at another home and a relay went by distance alone, so that a unit bound to regions could reach any node. Each choice of a node now asks for the unit's regions; the node to which the client is connected runs the unit itself where no home in its regions is reached. What no server may run is refused there, without a hop: route and tenant without a common region (come back in 5 s, since only another configuration helps), no server in the regions, or the primary elsewhere. The client's region is not used: a client of a zone without ready nodes reaches another zone's.

Ruled out: to filter the homes where they are ranked. The ranks are shared by all units of a group.

Each test was seen to fail with its mechanism taken out: with all nodes allowed, `units_go_to...` and `without_a_home...`; without the early refusal, `a_route_and_a_tenant...`; with no server barred, `what_needs_a_lead...` and `reads_run_only...`. `a_crowded_home...` did not fail then: it did not wait until the connections were shared. It does now; that it fails without the mechanism has not been shown yet.

--- a/crates/spurpier-pipeline/src/forward/caller.rs
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -17,6 +17,9 @@
 
 /// Runs a statement outside a transaction where its group's connections are.
 pub async fn run_single(unit: &Unit, work: &Work, effect: Effect) -> Done {
+    if let Some(bar) = unit.bar_everywhere(effect) {
+        return Done::answer(unit.refuse(&work.id, NotRun::Barred(bar)));
+    }
     await_list(unit).await;
     let mut was_lost = false;
     for home in usable(unit, unit.needs_lead(effect)) {
@@ -77,21 +80,22 @@
     unit.run_here(work, effect).await
 }
 
-/// The homes that have not just failed to answer, in the order in which they are tried.
+/// The homes that may be given the unit and have not just failed to answer, in the order in which
+/// they are tried. This node, to which the client is connected, knows the unit wherever it stands.
 pub(super) fn usable(unit: &Unit, needs_lead: bool) -> Vec<Home> {
     let context = &unit.context;
     let homes = context.homes_of(&unit.group.name);
     let mut homes = match &unit.caller.tenant {
         Some(tenant) => {
             let zone = needs_lead.then(|| unit.lead_zone()).flatten();
-            let zone = zone.unwrap_or_else(|| context.settings.node.zone.clone());
+            let zone = zone.unwrap_or_else(|| unit.nearest_zone(&homes));
             context.homes.ranked_for(&homes, tenant, &zone)
         }
         None => homes.nearest_first(),
     };
     homes.retain(|home| match home {
         Home::Own => true,
-        Home::Peer(peer) => context.links.is_usable(peer.address),
+        Home::Peer(peer) => context.links.is_usable(peer.address) && unit.may_go_to(peer),
     });
     homes
 }
--- a/crates/spurpier-pipeline/src/forward/transaction.rs
+++ b/crates/spurpier-pipeline/src/forward/transaction.rs
@@ -22,8 +22,11 @@
     /// Opens a transaction where the group's connections are; gives the client's answer, and the
     /// transaction if it is open.
     pub async fn begin(unit: Unit, work: &Work, read_only: bool) -> (Answer, Option<Self>) {
-        await_list(&unit).await;
         let effect = opening_effect(read_only);
+        if let Some(bar) = unit.bar_everywhere(effect) {
+            return (unit.refuse(&work.id, NotRun::Barred(bar)), None);
+        }
+        await_list(&unit).await;
         for home in usable(&unit, unit.needs_lead(effect)) {
             let Home::Peer(home) = home else {
                 return Self::begin_at_home(unit, work, read_only, true).await;
--- a/crates/spurpier-pipeline/src/places/mod.rs
+++ b/crates/spurpier-pipeline/src/places/mod.rs
@@ -16,6 +16,9 @@
 /// When a client should come back that no allowed server can serve: the primary may be moved, or
 /// the configuration changed.
 const REGION_RETRY: Duration = Duration::from_millis(1_000);
+/// When a client should come back whose route and tenant have no region in common: nothing but
+/// another configuration changes that.
+const NO_REGION_RETRY: Duration = Duration::from_secs(5);
 /// When a client should come back that only a server of an evacuated zone could serve: about how
 /// long a primary's replacement takes.
 const EVACUATION_RETRY: Duration = Duration::from_millis(600);
@@ -27,6 +30,8 @@
 pub enum Bar {
     /// It stands in a region that the route or the tenant does not allow.
     Region,
+    /// The route and the tenant have no region in common.
+    NoRegion,
     /// Its zone is evacuated.
     #[expect(dead_code, reason = "evacuations are not followed yet")]
     Evacuated,
@@ -40,6 +45,7 @@
     pub const fn text(self) -> &'static str {
         match self {
             Bar::Region => "region_not_allowed",
+            Bar::NoRegion => "no_region_allowed",
             Bar::Evacuated => "zone_evacuated",
             Bar::Cold => "server_cold",
         }
@@ -49,6 +55,7 @@
     pub const fn retry_after(self) -> Duration {
         match self {
             Bar::Region => REGION_RETRY,
+            Bar::NoRegion => NO_REGION_RETRY,
             Bar::Evacuated => EVACUATION_RETRY,
             Bar::Cold => COLD_RETRY,
         }
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod lead;
+mod place;
 mod read;
 mod times;
 mod transaction;
@@ -173,11 +174,13 @@
     pub fn better_home(&self, effect: Effect) -> Option<PeerNode> {
         if self.needs_lead(effect)
             && let Some(relay) = self.group.relay(self.context.clock.now())
+            && self.may_go_to(&relay)
         {
             return Some(relay);
         }
         let homes = self.context.homes_of(&self.group.name);
-        let is_usable = |home: &&PeerNode| self.context.links.is_usable(home.address);
+        let is_usable =
+            |home: &&PeerNode| self.context.links.is_usable(home.address) && self.may_go_to(home);
         if !self.context.holds_lease(&self.group) {
             // What needs the lead, or a proof of it, cannot be done here.
             return homes.others.iter().find(is_usable).cloned();
--- /dev/null
+++ b/crates/spurpier-pipeline/src/unit/place.rs
@@ -0,0 +1,64 @@
+//! Where a unit may go: which nodes may be given it, and whether any server may run it.
+
+use super::Unit;
+use crate::homes::{ChosenNodes, PeerNode};
+use crate::places::Bar;
+use crate::ports::Effect;
+
+impl Unit {
+    /// Whether another node may be given the unit.
+    pub fn may_go_to(&self, peer: &PeerNode) -> bool {
+        let places = &self.context.places;
+        places.allows(&self.allowed_regions, &peer.zone)
+    }
+
+    /// The zone near which homes are asked first for what need not run on the lead: this node's
+    /// own, or the nearest one with a home where the unit may run.
+    pub fn nearest_zone(&self, homes: &ChosenNodes) -> String {
+        let own = &self.context.settings.node.zone;
+        let places = &self.context.places;
+        if places.allows(&self.allowed_regions, own) {
+            return own.clone();
+        }
+        let nearest = homes.others.iter().find(|home| self.may_go_to(home));
+        nearest.map_or_else(|| own.clone(), |home| home.zone.clone())
+    }
+
+    /// Why no server may run such a statement, as far as this node knows; none if one may.
+    ///
+    /// Asked where the client is connected, so that nothing is held or passed on that nobody may
+    /// run.
+    pub fn bar_everywhere(&self, effect: Effect) -> Option<Bar> {
+        if self.allowed_regions.is_anywhere() {
+            return None;
+        }
+        if self.allowed_regions.is_nowhere() {
+            return Some(Bar::NoRegion);
+        }
+        if self.needs_lead(effect) {
+            return self.bar_at_lead();
+        }
+        self.bar_at_servers()
+    }
+
+    /// Why the server that leads, as far as is known, may not run the unit.
+    fn bar_at_lead(&self) -> Option<Bar> {
+        let context = &self.context;
+        let now = context.clock.now();
+        let lead = self.group.lead_candidate(now, context.leaving_use())?;
+        context
+            .places
+            .bar_to_lead(&self.allowed_regions, &lead, now)
+    }
+
+    /// Why none of the servers that stay may run the unit; none if one may, or none is known.
+    pub(super) fn bar_at_servers(&self) -> Option<Bar> {
+        let now = self.context.clock.now();
+        let servers = self.group.servers();
+        let staying = servers.iter().filter(|server| server.is_staying());
+        let bars: Option<Vec<Bar>> = staying
+            .map(|server| self.bar_to_read(server, now))
+            .collect();
+        bars?.first().copied()
+    }
+}
--- a/crates/spurpier-pipeline/src/unit/read.rs
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -180,21 +180,15 @@
     }
 
     /// Why a read must not go to a server now; none if it may.
-    fn bar_to_read(&self, server: &Server, now: Timestamp) -> Option<Bar> {
+    pub(super) fn bar_to_read(&self, server: &Server, now: Timestamp) -> Option<Bar> {
         let places = &self.context.places;
         places.bar_to_read(&self.allowed_regions, server, now)
     }
 
     /// Why no server can be tried at all: what bars those that stay, if that is so of each.
     pub(super) fn no_reader(&self) -> NotRun {
-        let now = self.context.clock.now();
-        let servers = self.group.servers();
-        let staying = servers.iter().filter(|server| server.is_staying());
-        let bars: Option<Vec<Bar>> = staying
-            .map(|server| self.bar_to_read(server, now))
-            .collect();
-        let bar = bars.and_then(|bars| bars.first().copied());
-        bar.map_or(NotRun::NoServer, NotRun::Barred)
+        self.bar_at_servers()
+            .map_or(NotRun::NoServer, NotRun::Barred)
     }
 
     /// The position of a proof that covers all that was acknowledged before now.
