Move a primary to where the work that it may not run is allowed

Each node counts what its clients ask of a primary within regions, served or refused, and tells it each second to the first home of the group by a rank that all nodes share; that home decides, and its wish goes to the holder of the duty with the request to see to the group. The holder hands over as before a primary's end, but only to a replica of the wished region that receives, and gives the lead back if that one lacks something after all: nothing acknowledged is lost. Nothing is sent where no region is named. Among replicas that received as much, a fail-over prefers the region where more is allowed.

Ruled out: demand counted at homes (what is refused at the client's node would never be seen), and demand told to the holder alone (only nodes that read the duty's row know it, and each reading is a call to the store).

--- /dev/null
+++ b/crates/spurpier-pipeline/src/duty/demand.rs
@@ -0,0 +1,163 @@
+//! Telling what is asked of primaries to the homes that decide on their moves, and deciding.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nanoserde::SerBin;
+use spurpier_core::places::RegionDemand;
+use spurpier_core::wire::{List, LongText};
+
+use super::messages::{PeerMessage, ToldDemand};
+use super::peers::{MAX_DATAGRAM, Peers};
+use crate::context::Context;
+use crate::group::Group;
+use crate::homes::Home;
+
+/// How often a node tells what its clients have asked for. Only groups that were asked for within
+/// bounds are told of: one datagram each, and nothing where no region is named.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// How many homes are told in turn until one answers.
+const TOLD_HOMES: usize = 3;
+
+/// Tells of demand and decides on moves; never returns.
+pub async fn follow_demand(context: Arc<Context>, peers: Arc<Peers>) {
+    loop {
+        tokio::time::sleep(REPORT_INTERVAL).await;
+        for (name, demand) in context.places.demand.take_counts() {
+            let now = context.clock.now();
+            context.places.demand.note(&name, &demand, now);
+            let homes = deciding_homes(&context, &name);
+            let homes = homes.into_iter().take(TOLD_HOMES);
+            let addresses: Vec<Option<SocketAddr>> = homes.map(address).collect();
+            tokio::spawn(Arc::clone(&peers).tell_demand(name, demand, addresses));
+        }
+        for group in context.all_groups() {
+            decide(&context, &group);
+        }
+    }
+}
+
+/// The homes of a group in the order in which they decide on moves: the first that can be reached.
+fn deciding_homes(context: &Context, group: &str) -> Vec<Home> {
+    let homes = context.homes_of(group);
+    let mut ranked = context.homes.ranked_over_all(&homes, group);
+    ranked.retain(|home| match home {
+        Home::Own => true,
+        Home::Peer(peer) => context.links.is_usable(peer.address),
+    });
+    ranked
+}
+
+fn address(home: Home) -> Option<SocketAddr> {
+    match home {
+        Home::Own => None,
+        Home::Peer(peer) => Some(peer.address),
+    }
+}
+
+/// Decides on a group's move if that is this node's turn; the watch sees to what is wanted.
+fn decide(context: &Context, group: &Group) {
+    if deciding_homes(context, &group.name).first() != Some(&Home::Own) {
+        return;
+    }
+    let Some(lead) = group.lead() else {
+        return;
+    };
+    let places = &context.places;
+    let Some(present) = places.region(&lead.listing().entry.zone).map(str::to_owned) else {
+        return;
+    };
+    let now = context.clock.now();
+    let servers = group.servers();
+    let may_succeed = servers.iter().filter(|server| {
+        server.is_staying() && !server.health().is_silent() && places.may_succeed(server, now)
+    });
+    let regions = may_succeed.filter_map(|server| {
+        places
+            .region(&server.listing().entry.zone)
+            .map(str::to_owned)
+    });
+    let candidates: BTreeSet<String> = regions.collect();
+    places
+        .demand
+        .decide(&group.name, &present, &candidates, now);
+}
+
+impl Peers {
+    /// Takes in that another node wants a group's primary in a region, if the group is known.
+    pub(super) fn note_wish(&self, group: &str, region: String) {
+        let context = self.context();
+        if context.known_group(group).is_some() {
+            let now = context.clock.now();
+            context.places.demand.note_wish(group, region, now);
+        }
+    }
+
+    /// Takes in demand that another node tells; false if this node does not know the group.
+    pub(super) fn take_demand(&self, group: &str, told: List<ToldDemand>) -> bool {
+        let context = self.context();
+        if context.known_group(group).is_none() {
+            return false;
+        }
+        let demand: Vec<RegionDemand> = told.0.into_iter().map(RegionDemand::from).collect();
+        let now = context.clock.now();
+        context.places.demand.note(group, &demand, now);
+        true
+    }
+
+    /// Tells demand to the first of the homes that answers; one without an address is this node,
+    /// which knows it.
+    async fn tell_demand(
+        self: Arc<Self>,
+        group: String,
+        demand: Vec<RegionDemand>,
+        homes: Vec<Option<SocketAddr>>,
+    ) {
+        for address in homes {
+            let Some(address) = address else {
+                return;
+            };
+            let question = |number| demand_message(number, &group, &demand);
+            if !self.ask(question, &[address]).await.is_empty() {
+                return;
+            }
+        }
+    }
+}
+
+/// The message that tells as much demand as a datagram holds; the greatest comes first.
+fn demand_message(number: u64, group: &str, demand: &[RegionDemand]) -> PeerMessage {
+    let mut told: Vec<ToldDemand> = demand.iter().map(ToldDemand::from).collect();
+    loop {
+        let message = PeerMessage::Demand {
+            number,
+            group: group.to_owned(),
+            demand: List(told.clone()),
+        };
+        if told.pop().is_none() || message.serialize_bin().len() <= MAX_DATAGRAM {
+            return message;
+        }
+    }
+}
+
+impl From<&RegionDemand> for ToldDemand {
+    fn from(demand: &RegionDemand) -> Self {
+        let regions = demand.regions.iter().cloned();
+        ToldDemand {
+            regions: List(regions.map(LongText).collect()),
+            units: demand.units,
+        }
+    }
+}
+
+impl From<ToldDemand> for RegionDemand {
+    fn from(told: ToldDemand) -> Self {
+        let regions = told.regions.0.into_iter();
+        RegionDemand {
+            regions: regions.map(|name| name.0).collect(),
+            units: told.units,
+        }
+    }
+}
--- a/crates/spurpier-pipeline/src/duty/messages.rs
+++ b/crates/spurpier-pipeline/src/duty/messages.rs
@@ -5,6 +5,7 @@
 use nanoserde::{DeBin, SerBin};
 use spurpier_core::lead::Succession;
 use spurpier_core::position::Position;
+use spurpier_core::wire::{List, LongText};
 
 /// Says that no proof of lead is known.
 const NEVER: u32 = u32::MAX;
@@ -35,6 +36,9 @@
         number: u64,
         /// The group.
         group: String,
+        /// The region that its primary is to move to; none if it is to be replaced for another
+        /// reason.
+        region: Option<String>,
     },
     /// Asks the receiver to use no other server than the successor as a group's lead.
     AskYield {
@@ -64,11 +68,29 @@
         /// The question's number.
         number: u64,
     },
-    /// Answers `Wanted`: the receiver of it holds the duty and sees to the group.
+    /// Answers `Wanted`: the receiver of it holds the duty and sees to the group; and `Demand`.
     Heard {
         /// The question's number.
         number: u64,
     },
+    /// Tells a home what the sender's clients have asked of a group's primary.
+    Demand {
+        /// The question's number at the sender.
+        number: u64,
+        /// The group.
+        group: String,
+        /// What was asked for since the sender told last.
+        demand: List<ToldDemand>,
+    },
+}
+
+/// Units that may run only in some regions.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct ToldDemand {
+    /// The regions.
+    pub regions: List<LongText>,
+    /// How many units were asked for.
+    pub units: u32,
 }
 
 /// A time as a message carries it.
--- a/crates/spurpier-pipeline/src/duty/peers.rs
+++ b/crates/spurpier-pipeline/src/duty/peers.rs
@@ -20,7 +20,7 @@
 use crate::unit::renew_proof;
 
 /// The greatest datagram that is taken, in bytes.
-const MAX_DATAGRAM: usize = 1_200;
+pub(super) const MAX_DATAGRAM: usize = 1_200;
 /// A proof younger than this is told without asking the lead again.
 const FRESH_PROOF: Duration = Duration::from_millis(250);
 /// How long a node that is asked may ask the lead.
@@ -62,6 +62,11 @@
         })
     }
 
+    /// What this node's tasks share.
+    pub(super) fn context(&self) -> &Context {
+        &self.context
+    }
+
     /// Takes messages; never returns.
     pub async fn receive(self: Arc<Self>) {
         let mut buffer = vec![0; MAX_DATAGRAM];
@@ -82,7 +87,14 @@
             PeerMessage::AskSight { number, group } => {
                 tokio::spawn(Arc::clone(self).answer_sight(number, group, from));
             }
-            PeerMessage::Wanted { number, group } => {
+            PeerMessage::Wanted {
+                number,
+                group,
+                region,
+            } => {
+                if let Some(region) = region {
+                    self.note_wish(&group, region);
+                }
                 if self.context.can_hold_duty() && self.wanted.try_send(group).is_ok() {
                     self.send(&PeerMessage::Heard { number }, from).await;
                 }
@@ -100,6 +112,15 @@
                         .await;
                 }
             }
+            PeerMessage::Demand {
+                number,
+                group,
+                demand,
+            } => {
+                if self.take_demand(&group, demand) {
+                    self.send(&PeerMessage::Heard { number }, from).await;
+                }
+            }
             PeerMessage::AskPresence { number } => {
                 self.send(&PeerMessage::Present { number }, from).await;
             }
@@ -181,12 +202,14 @@
         (sights, addresses.len())
     }
 
-    /// Whether the holder of the duty answers that it sees to a group.
-    pub async fn tell_holder(&self, holder: &str, group: &str) -> bool {
+    /// Whether the holder of the duty answers that it sees to a group, whose primary is to move to
+    /// a region if one is given.
+    pub async fn tell_holder(&self, holder: &str, group: &str, region: Option<String>) -> bool {
         let address = self.context.homes.address(holder);
         let question = |number| PeerMessage::Wanted {
             number,
             group: group.to_owned(),
+            region,
         };
         match address {
             Some(address) => !self.ask(question, &[address]).await.is_empty(),
--- a/crates/spurpier-pipeline/src/duty/successor.rs
+++ b/crates/spurpier-pipeline/src/duty/successor.rs
@@ -176,6 +176,34 @@
     (!is_replica).then_some(heir)
 }
 
+/// The server that is to take over in a region from a primary that serves: the one there that has
+/// received most, if it receives all that the primary had just now. None if there is none.
+///
+/// Nothing is lost while the primary goes on, so that a replica that is far behind is not waited
+/// for in vain.
+pub async fn find_heir_in(
+    context: &Context,
+    group: &Group,
+    former: &Arc<Server>,
+    region: &str,
+) -> Option<Arc<Server>> {
+    let told = ask_replicas(context, group, Some(former), ServerRequest::Status).await;
+    let now = context.clock.now();
+    let places = &context.places;
+    let stands_there =
+        |server: &Server| places.region(&server.listing().entry.zone) == Some(region);
+    let may_take_over = |server: &Server| {
+        stands_there(server) && server.is_staying() && places.may_succeed(server, now)
+    };
+    let candidates = told.into_iter().filter(|told| may_take_over(&told.server));
+    let received = candidates.filter_map(|told| Some((told.status?.received, told.server)));
+    let (_, heir) = received.max_by_key(|(received, _)| *received)?;
+    let status = ask(context, former, ServerRequest::Status).await?;
+    let leads = status.role == ServerRole::Primary;
+    let receives = leads && await_position(context, &heir, status.received).await;
+    receives.then_some(heir)
+}
+
 /// What became of a leaving primary that was told to step down.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SteppedDown {
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -14,11 +14,12 @@
 use super::peers::Peers;
 use super::round::{Round, yield_to};
 use super::successor::{
-    SteppedDown, find_heir, find_successor, holds_all, order, resume, step_down,
+    SteppedDown, find_heir, find_heir_in, find_successor, holds_all, order, resume, step_down,
 };
 use crate::context::Context;
 use crate::events;
 use crate::group::Group;
+use crate::places::MoveReason;
 use crate::ports::{PromotionAnswer, StoreError};
 use crate::server::Server;
 use crate::unit::{NotRun, renew_proof};
@@ -112,8 +113,8 @@
     Nothing,
     /// More looks.
     Patience,
-    /// A successor of a primary that leaves.
-    HandOver(Arc<Server>),
+    /// A successor of a primary that serves.
+    HandOver(Arc<Server>, MoveReason),
     /// A successor of a primary that is lost.
     Replacement(Option<Arc<Server>>),
 }
@@ -136,8 +137,10 @@
             match self.assess().await {
                 Need::Nothing => return,
                 Need::Patience => {}
-                Need::HandOver(former) => self.see_to(Some(former), true).await,
-                Need::Replacement(former) => self.see_to(former, false).await,
+                Need::HandOver(former, reason) => {
+                    self.see_to(Some(former), Some(reason)).await;
+                }
+                Need::Replacement(former) => self.see_to(former, None).await,
             }
             tokio::time::sleep(CASE_PAUSE).await;
         }
@@ -205,7 +208,7 @@
         let now = self.context.clock.now();
         let places = &self.context.places;
         match places.reason_to_move(&self.group, &lead, now) {
-            Some(_) => Need::HandOver(lead),
+            Some(reason) => Need::HandOver(lead, reason),
             None => Need::Nothing,
         }
     }
@@ -220,7 +223,7 @@
     }
 
     /// Decides if this node holds the duty or must take it over; otherwise tells its holder.
-    async fn see_to(&mut self, former: Option<Arc<Server>>, planned: bool) {
+    async fn see_to(&mut self, former: Option<Arc<Server>>, planned: Option<MoveReason>) {
         let Some(duty) = read_duty(&self.context).await else {
             return;
         };
@@ -233,8 +236,10 @@
         self.holder = Some((duty.clone(), record));
         let own_name = self.context.settings.node.name.as_str();
         match next_step(duty.row.as_ref(), own_name, &record, now) {
-            DutyStep::Decide if planned => self.hand_over(&duty, former).await,
-            DutyStep::Decide => self.replace(&duty, former).await,
+            DutyStep::Decide => match (former, planned) {
+                (Some(former), Some(reason)) => self.hand_over(&duty, former, reason).await,
+                (former, _) => self.replace(&duty, former).await,
+            },
             DutyStep::AskHolder => self.ask_holder(&duty).await,
         }
     }
@@ -244,7 +249,9 @@
             return;
         };
         let asked_at = self.context.clock.now();
-        let heard = self.peers.tell_holder(&row.holder, &self.group.name).await;
+        let group = self.group.name.as_str();
+        let region = self.context.places.demand.wish(group, asked_at);
+        let heard = self.peers.tell_holder(&row.holder, group, region).await;
         if let Some((_, record)) = &mut self.holder {
             record.note_question(asked_at, heard);
         }
@@ -280,35 +287,75 @@
         round.clean_up().await;
     }
 
-    /// Hands a group over from a primary that leaves, without losing a commit: it steps down, its
+    /// Hands a group over from a primary that serves, without losing a commit: it steps down, its
     /// heir receives the rest, and is ordered to lead.
-    async fn hand_over(&mut self, duty: &KnownDuty, former: Option<Arc<Server>>) {
+    async fn hand_over(&mut self, duty: &KnownDuty, former: Arc<Server>, reason: MoveReason) {
         let (context, group) = (Arc::clone(&self.context), Arc::clone(&self.group));
-        let Some(former) = former else {
-            return;
-        };
-        let Some(heir) = find_heir(&context, &group, &former).await else {
+        let Some(heir) = self.find_heir(&former, reason).await else {
             tokio::time::sleep(UNDECIDED_PAUSE).await;
             return;
         };
         let Some(decision) = self.decide(duty, &heir).await else {
             return;
         };
+        log_event!(
+            events::PRIMARY_MOVES,
+            group = group.name,
+            reason = reason.text(),
+            from = former.instance,
+            to = heir.instance
+        );
         let peers = Arc::clone(&self.peers);
         let mut round = Round::new(&context, &peers, &group, &decision);
         let stepped_down = step_down(&context, &group, &former, &heir).await;
         if stepped_down != SteppedDown::Unknown {
             round.note_stepped_down();
         }
-        // A successor that is too far behind takes over all the same: the group must serve.
-        let may_order =
-            group.synchronous_replicas() == 0 || stepped_down == SteppedDown::HeirHasAll;
+        // A successor of a primary that ends takes over also if it is too far behind: the group must
+        // serve. One that stays can lead again.
+        let must_hold_all = group.synchronous_replicas() > 0 || reason == MoveReason::Demand;
+        let may_order = stepped_down == SteppedDown::HeirHasAll || !must_hold_all;
         if may_order && let Some(ordering) = round.await_order().await {
             let answer = order(&context, &group, &heir, decision.token()).await;
             drop(ordering);
             self.note_ordered(&answer, Some(&former)).await;
         }
         round.clean_up().await;
+        if !may_order && reason == MoveReason::Demand {
+            self.give_back(&former).await;
+        }
+    }
+
+    async fn find_heir(&self, former: &Arc<Server>, reason: MoveReason) -> Option<Arc<Server>> {
+        let (context, group) = (&self.context, &self.group);
+        match reason {
+            MoveReason::Leaving => find_heir(context, group, former).await,
+            MoveReason::Demand => {
+                let now = context.clock.now();
+                let region = context.places.demand.wish(&group.name, now)?;
+                find_heir_in(context, group, former, &region).await
+            }
+        }
+    }
+
+    /// Lets a primary that has stepped down lead again, since its heir lacks something: it holds
+    /// all that was acknowledged. If that fails, the group is seen to as one without a primary.
+    async fn give_back(&mut self, former: &Arc<Server>) {
+        let (context, group) = (Arc::clone(&self.context), Arc::clone(&self.group));
+        let Some(duty) = read_duty(&context).await else {
+            return;
+        };
+        let Some(decision) = self.decide(&duty.holder, former).await else {
+            return;
+        };
+        let peers = Arc::clone(&self.peers);
+        let mut round = Round::new(&context, &peers, &group, &decision);
+        if let Some(ordering) = round.await_order().await {
+            let answer = order(&context, &group, former, decision.token()).await;
+            drop(ordering);
+            self.note_ordered(&answer, None).await;
+        }
+        round.clean_up().await;
     }
 
     /// Stores the decision that a server takes over; from then on this node uses no other.
--- a/crates/spurpier-pipeline/src/forward/caller.rs
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -17,6 +17,7 @@
 
 /// Runs a statement outside a transaction where its group's connections are.
 pub async fn run_single(unit: &Unit, work: &Work, effect: Effect) -> Done {
+    unit.count_demand(effect);
     if let Some(bar) = unit.bar_everywhere(effect) {
         return Done::answer(unit.refuse(&work.id, NotRun::Barred(bar)));
     }
--- a/crates/spurpier-pipeline/src/forward/transaction.rs
+++ b/crates/spurpier-pipeline/src/forward/transaction.rs
@@ -23,6 +23,7 @@
     /// transaction if it is open.
     pub async fn begin(unit: Unit, work: &Work, read_only: bool) -> (Answer, Option<Self>) {
         let effect = opening_effect(read_only);
+        unit.count_demand(effect);
         if let Some(bar) = unit.bar_everywhere(effect) {
             return (unit.refuse(&work.id, NotRun::Barred(bar)), None);
         }
--- a/crates/spurpier-pipeline/src/homes/mod.rs
+++ b/crates/spurpier-pipeline/src/homes/mod.rs
@@ -330,6 +330,12 @@
         homes.ranked_for(tenant, own, |other| self.place.is_same_region(other, zone))
     }
 
+    /// The homes of a group in an order that is the same at all nodes, wherever they stand.
+    pub fn ranked_over_all(&self, homes: &ChosenNodes, subject: &str) -> Vec<Home> {
+        let own = (self.own_name.as_str(), self.own.zone.as_str());
+        homes.ranked_for(subject, own, |_| true)
+    }
+
     /// Whether a zone lies in this node's region.
     pub fn is_own_region(&self, zone: &str) -> bool {
         self.place.distance(zone) != Distance::Remote
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -20,7 +20,7 @@
 use crate::configuration::ConfigurationSink;
 use crate::context::{Context, RETRY_BUDGET};
 use crate::directory::{ServerSink, close_unused, forget_gone, share_after_start};
-use crate::duty::{Peers, watch_groups};
+use crate::duty::{Peers, follow_demand, watch_groups};
 use crate::events;
 use crate::follow::follow;
 use crate::forward::{self, Links, LostNodes};
@@ -227,6 +227,7 @@
     let (sender, wanted) = mpsc::channel(WANTED_CAPACITY);
     let peers = Peers::new(Arc::clone(context), socket, sender);
     tokio::spawn(Arc::clone(&peers).receive());
+    tokio::spawn(follow_demand(Arc::clone(context), Arc::clone(&peers)));
     tokio::spawn(watch_groups(Arc::clone(context), peers, wanted));
 }
 
--- a/crates/spurpier-pipeline/src/places/mod.rs
+++ b/crates/spurpier-pipeline/src/places/mod.rs
@@ -3,12 +3,15 @@
 //! Every choice of a server or a home asks here, at each hop: the first choice, a unit that is
 //! handed on, a further attempt, and a transaction's next statement.
 
+mod demand;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use spurpier_core::places::AllowedRegions;
 use spurpier_core::time::Timestamp;
 
+use self::demand::PrimaryDemand;
 use crate::group::Group;
 use crate::server::Server;
 use crate::settings::PipelineSettings;
@@ -67,6 +70,18 @@
 pub enum MoveReason {
     /// It is about to end.
     Leaving,
+    /// Much of what needs it may not run where it stands.
+    Demand,
+}
+
+impl MoveReason {
+    /// Its name in logs.
+    pub const fn text(self) -> &'static str {
+        match self {
+            MoveReason::Leaving => "leaving",
+            MoveReason::Demand => "demand",
+        }
+    }
 }
 
 /// What this node knows of places.
@@ -74,6 +89,8 @@
 pub struct Places {
     /// The region of each zone.
     regions: BTreeMap<String, String>,
+    /// What is asked of the primaries, by regions.
+    pub demand: PrimaryDemand,
 }
 
 impl Places {
@@ -81,6 +98,7 @@
     pub fn new(settings: &PipelineSettings) -> Self {
         Places {
             regions: settings.zones.clone(),
+            demand: PrimaryDemand::default(),
         }
     }
 
@@ -125,11 +143,16 @@
     /// Why a group's primary, which serves, is to be replaced; none if it is to stay.
     pub fn reason_to_move(
         &self,
-        _group: &Group,
+        group: &Group,
         lead: &Server,
-        _now: Timestamp,
+        now: Timestamp,
     ) -> Option<MoveReason> {
-        (!lead.is_staying()).then_some(MoveReason::Leaving)
+        if !lead.is_staying() {
+            return Some(MoveReason::Leaving);
+        }
+        let wish = self.demand.wish(&group.name, now)?;
+        let stands_there = self.region(&lead.listing().entry.zone) == Some(wish.as_str());
+        (!stands_there).then_some(MoveReason::Demand)
     }
 
     /// Whether a server may become its group's primary at all, as far as places tell.
@@ -139,7 +162,11 @@
 
     /// How well a server's place fits as that of its group's primary; the greater one goes first
     /// among servers that have received as much.
-    pub fn fit(&self, _group: &Group, _server: &Server, _now: Timestamp) -> u64 {
-        0
+    ///
+    /// It counts the work that this node knows to be allowed there: what its own clients ask for,
+    /// and what all do at the home that decides on moves.
+    pub fn fit(&self, group: &Group, server: &Server, _now: Timestamp) -> u64 {
+        let region = self.region(&server.listing().entry.zone);
+        region.map_or(0, |region| self.demand.allowed_in(&group.name, region))
     }
 }
--- a/crates/spurpier-pipeline/src/unit/place.rs
+++ b/crates/spurpier-pipeline/src/unit/place.rs
@@ -24,6 +24,15 @@
         nearest.map_or_else(|| own.clone(), |home| home.zone.clone())
     }
 
+    /// Counts what a client asks of the group's primary, served or not: where much of it may not run
+    /// where the primary stands, that is moved.
+    pub fn count_demand(&self, effect: Effect) {
+        if self.needs_lead(effect) {
+            let demand = &self.context.places.demand;
+            demand.count(&self.group.name, &self.allowed_regions);
+        }
+    }
+
     /// Why no server may run such a statement, as far as this node knows; none if one may.
     ///
     /// Asked where the client is connected, so that nothing is held or passed on that nobody may
