Give the lead back at once where the heir of a move lacks something

The primary had confirmed that it stepped down and the heir was never ordered, so that no server leads: the second round need not wait until all nodes have yielded. It did, until the leases had ended. Ruled out: to order the heir all the same, as for a primary that ends; what was acknowledged would be lost where commits wait for no replica.

--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -322,7 +322,7 @@
         }
         round.clean_up().await;
         if !may_order && reason == MoveReason::Demand {
-            self.give_back(&former).await;
+            self.give_back(&former, stepped_down).await;
         }
     }
 
@@ -338,9 +338,10 @@
         }
     }
 
-    /// Lets a primary that has stepped down lead again, since its heir lacks something: it holds
-    /// all that was acknowledged. If that fails, the group is seen to as one without a primary.
-    async fn give_back(&mut self, former: &Arc<Server>) {
+    /// Lets a primary that was told to step down lead again, since its heir lacks something: it
+    /// holds all that was acknowledged. If that fails, the group is seen to as one without a
+    /// primary.
+    async fn give_back(&mut self, former: &Arc<Server>, stepped_down: SteppedDown) {
         let (context, group) = (Arc::clone(&self.context), Arc::clone(&self.group));
         let Some(duty) = read_duty(&context).await else {
             return;
@@ -350,6 +351,10 @@
         };
         let peers = Arc::clone(&self.peers);
         let mut round = Round::new(&context, &peers, &group, &decision);
+        if stepped_down == SteppedDown::HeirLacks {
+            // No server leads, and the heir was not ordered to.
+            round.note_stepped_down();
+        }
         if let Some(ordering) = round.await_order().await {
             let answer = order(&context, &group, former, decision.token()).await;
             drop(ordering);
