Let a read bound to replicas wait for one that is behind

A read that may not go to the lead was refused as soon as each replica of its regions had said that it lacks the position; elsewhere such a read goes to the lead. Ruled out: to wait where the lead may run it (it serves at once).

Test `a_read_waits_...` fails without the wait (`no_fresh_server`). `homes_by_region`: 11 passed in 12.31 s.

--- a/crates/spurpier-pipeline/src/unit/place.rs
+++ b/crates/spurpier-pipeline/src/unit/place.rs
@@ -1,10 +1,15 @@
 //! Where a unit may go: which nodes may be given it, and whether any server may run it.
 
+use std::time::Duration;
+
 use super::Unit;
 use crate::homes::{ChosenNodes, PeerNode};
 use crate::places::Bar;
 use crate::ports::Effect;
 
+/// How long a replica is given to receive more before a read asks it again.
+const REPLICA_PAUSE: Duration = Duration::from_millis(20);
+
 impl Unit {
     /// Whether another node may be given the unit.
     pub fn may_go_to(&self, peer: &PeerNode) -> bool {
@@ -70,4 +75,20 @@
             .collect();
         bars?.first().copied()
     }
+
+    /// Gives the replicas time to receive more, if the unit may run on replicas alone; false if it
+    /// may run on the lead as well, or has no time left to wait.
+    ///
+    /// Elsewhere a read that finds all replicas behind goes to the lead. Without the wait, a session
+    /// that has just written is refused by a replica that is some milliseconds behind.
+    pub(super) async fn await_replica(&self) -> bool {
+        if self.allowed_regions.is_anywhere() || self.bar_at_lead().is_none() {
+            return false;
+        }
+        if self.context.clock.now() + REPLICA_PAUSE > self.times.wait_until {
+            return false;
+        }
+        tokio::time::sleep(REPLICA_PAUSE).await;
+        true
+    }
 }
--- a/crates/spurpier-pipeline/src/unit/read.rs
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -64,22 +64,34 @@
             Ok(floor) => floor,
             Err(reason) => return self.refuse(&work.id, reason),
         };
+        loop {
+            match self.read_behind(work, &mut floor).await {
+                Ok(answer) => return answer,
+                Err(NotRun::NoFreshServer) if self.await_replica().await => {}
+                Err(reason) => return self.refuse(&work.id, reason),
+            }
+        }
+    }
+
+    /// Runs a read behind a position, on each of the best servers at most once; gives an answer to
+    /// pass on, or why it has not run.
+    async fn read_behind(&self, work: &Work, floor: &mut Position) -> Result<Answer, NotRun> {
         let mut tried = Vec::new();
         let mut refused = self.no_reader();
         for _ in 0..ATTEMPTS {
-            let Some(place) = self.next_reader(floor, &mut tried, &mut refused).await else {
+            let Some(place) = self.next_reader(*floor, &mut tried, &mut refused).await else {
                 break;
             };
             let server = Arc::clone(&place.server);
             let until = self.attempt_end();
-            let manner = Manner::Alone(after(floor));
+            let manner = Manner::Alone(after(*floor));
             let (_, result) = self.attempt(place, work, manner, until).await;
             match self.judge_read(work, &server, result) {
-                Ok(answer) => return answer,
+                Ok(answer) => return Ok(answer),
                 Err(reason) => refused = reason,
             }
             if self.context.clock.now() >= self.times.give_up {
-                return self.doubt(&work.id, ErrorClass::Timeout, &server.instance);
+                return Ok(self.doubt(&work.id, ErrorClass::Timeout, &server.instance));
             }
             // A replica that is behind is no failure.
             if refused != NotRun::NoFreshServer && !self.context.may_retry() {
@@ -87,14 +99,11 @@
             }
             if refused == NotRun::NoFreshServer && self.is_lead(&server) {
                 // The lead itself lacks the position: it was dropped when the lead changed.
-                match self.newest_floor().await {
-                    Ok(newest) => floor = newest,
-                    Err(reason) => return self.refuse(&work.id, reason),
-                }
+                *floor = self.newest_floor().await?;
                 tried.clear();
             }
         }
-        self.refuse(&work.id, refused)
+        Err(refused)
     }
 
     /// An answer to pass on, or why another server is to be tried.
--- a/crates/spurpier-pipeline/src/unit/transaction.rs
+++ b/crates/spurpier-pipeline/src/unit/transaction.rs
@@ -158,6 +158,16 @@
             return self.begin_read_only_on_lead(work).await;
         }
         let floor = self.floor().await?;
+        loop {
+            match self.begin_behind(work, floor).await {
+                Err(NotRun::NoFreshServer) if self.await_replica().await => {}
+                begun => return begun,
+            }
+        }
+    }
+
+    /// Opens a read-only transaction behind a position, on each of the best servers at most once.
+    async fn begin_behind(&self, work: &Work, floor: Position) -> Result<Place, NotRun> {
         let mut tried = Vec::new();
         let mut refused = self.no_reader();
         for _ in 0..ATTEMPTS {
