--- a/crates/spurpier-pipeline/src/duty/mod.rs
+++ b/crates/spurpier-pipeline/src/duty/mod.rs
@@ -1,5 +1,6 @@
 //! Replacing a primary that is lost, leaves or stands in an evacuated zone: seeing it, agreeing on it, and ordering it.
 
+mod demand;
 mod evacuation;
 mod holder;
 mod messages;
@@ -8,6 +9,7 @@
 mod successor;
 mod watch;
 
+pub use self::demand::follow_demand;
 pub use self::peers::Peers;
 pub use self::round::yield_by_store;
 pub use self::watch::watch_groups;
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -15,7 +15,7 @@
 use super::peers::Peers;
 use super::round::{Round, yield_to};
 use super::successor::{
-    SteppedDown, find_heir, find_successor, holds_all, order, resume, step_down,
+    SteppedDown, find_heir, find_heir_in, find_successor, holds_all, order, resume, step_down,
 };
 use crate::context::Context;
 use crate::events;
@@ -140,7 +140,9 @@
             match self.assess().await {
                 Need::Nothing => return,
                 Need::Patience => {}
-                Need::HandOver(former, why) => self.see_to(Some(former), Some(why)).await,
+                Need::HandOver(former, reason) => {
+                    self.see_to(Some(former), Some(reason)).await;
+                }
                 Need::Replacement(former) => self.see_to(former, None).await,
             }
             tokio::time::sleep(CASE_PAUSE).await;
@@ -230,7 +232,7 @@
         let places = &self.context.places;
         match places.reason_to_move(&self.group, &lead, now) {
             Some(MoveReason::Evacuated) if !self.has_heir(&lead) => Need::Patience,
-            Some(why) => Need::HandOver(lead, why),
+            Some(reason) => Need::HandOver(lead, reason),
             None => Need::Nothing,
         }
     }
@@ -258,9 +260,9 @@
         self.holder = Some((duty.clone(), record));
         let own_name = self.context.settings.node.name.as_str();
         match next_step(duty.row.as_ref(), own_name, &record, now) {
-            DutyStep::Decide => match planned {
-                Some(why) => self.hand_over(&duty, former, why).await,
-                None => self.replace(&duty, former).await,
+            DutyStep::Decide => match (former, planned) {
+                (Some(former), Some(reason)) => self.hand_over(&duty, former, reason).await,
+                (former, _) => self.replace(&duty, former).await,
             },
             DutyStep::AskHolder => self.ask_holder(&duty).await,
         }
@@ -271,7 +273,9 @@
             return;
         };
         let asked_at = self.context.clock.now();
-        let heard = self.peers.tell_holder(&row.holder, &self.group.name).await;
+        let group = self.group.name.as_str();
+        let region = self.context.places.demand.wish(group, asked_at);
+        let heard = self.peers.tell_holder(&row.holder, group, region).await;
         if let Some((_, record)) = &mut self.holder {
             record.note_question(asked_at, heard);
         }
@@ -314,21 +318,25 @@
 
     /// Hands a group over from a primary that serves, without losing a commit: it steps down, its
     /// heir receives the rest, and is ordered to lead.
-    async fn hand_over(&mut self, duty: &KnownDuty, former: Option<Arc<Server>>, why: MoveReason) {
+    async fn hand_over(&mut self, duty: &KnownDuty, former: Arc<Server>, reason: MoveReason) {
         let (context, group) = (Arc::clone(&self.context), Arc::clone(&self.group));
-        let Some(former) = former else {
-            return;
-        };
-        let Some(heir) = find_heir(&context, &group, &former).await else {
+        let Some(heir) = self.find_heir(&former, reason).await else {
             tokio::time::sleep(UNDECIDED_PAUSE).await;
             return;
         };
-        if why == MoveReason::Evacuated && !self.may_step_down(&former, &heir).await {
+        if reason == MoveReason::Evacuated && !self.may_step_down(&former, &heir).await {
             return;
         }
         let Some(decision) = self.decide(duty, &heir).await else {
             return;
         };
+        log_event!(
+            events::PRIMARY_MOVES,
+            group = group.name,
+            reason = reason.text(),
+            from = former.instance,
+            to = heir.instance
+        );
         let peers = Arc::clone(&self.peers);
         let mut round = Round::new(&context, &peers, &group, &decision);
         let stepped_down = step_down(&context, &group, &former, &heir).await;
@@ -337,8 +345,8 @@
         }
         self.note_stepped_down(stepped_down, &former, decision.succession.token);
         // The server of a primary that leaves ends: a successor that is too far behind takes over all
-        // the same, since the group must serve. That of an evacuated one lives on.
-        let may_lose = why == MoveReason::Leaving && group.synchronous_replicas() == 0;
+        // the same, since the group must serve. One that stays can lead again.
+        let may_lose = reason == MoveReason::Leaving && group.synchronous_replicas() == 0;
         let may_order = may_lose || matches!(stepped_down, SteppedDown::HeirHasAll(_));
         if may_order && let Some(ordering) = round.await_order().await {
             let answer = order(&context, &group, &heir, decision.token()).await;
@@ -346,6 +354,46 @@
             self.note_ordered(&answer, Some(&former)).await;
         }
         round.clean_up().await;
+        if !may_order && reason == MoveReason::Demand {
+            self.give_back(&former, stepped_down).await;
+        }
+    }
+
+    async fn find_heir(&self, former: &Arc<Server>, reason: MoveReason) -> Option<Arc<Server>> {
+        let (context, group) = (&self.context, &self.group);
+        match reason {
+            MoveReason::Leaving | MoveReason::Evacuated => find_heir(context, group, former).await,
+            MoveReason::Demand => {
+                let now = context.clock.now();
+                let region = context.places.demand.wish(&group.name, now)?;
+                find_heir_in(context, group, former, &region).await
+            }
+        }
+    }
+
+    /// Lets a primary that was told to step down lead again, since its heir lacks something: it
+    /// holds all that was acknowledged. If that fails, the group is seen to as one without a
+    /// primary.
+    async fn give_back(&mut self, former: &Arc<Server>, stepped_down: SteppedDown) {
+        let (context, group) = (Arc::clone(&self.context), Arc::clone(&self.group));
+        let Some(duty) = read_duty(&context).await else {
+            return;
+        };
+        let Some(decision) = self.decide(&duty.holder, former).await else {
+            return;
+        };
+        let peers = Arc::clone(&self.peers);
+        let mut round = Round::new(&context, &peers, &group, &decision);
+        if matches!(stepped_down, SteppedDown::HeirLacks(_)) {
+            // No server leads, and the heir was not ordered to.
+            round.note_stepped_down();
+        }
+        if let Some(ordering) = round.await_order().await {
+            let answer = order(&context, &group, former, decision.token()).await;
+            drop(ordering);
+            self.note_ordered(&answer, None).await;
+        }
+        round.clean_up().await;
     }
 
     /// Stores the decision that a server takes over; from then on this node uses no other.
--- a/crates/spurpier-pipeline/src/places/mod.rs
+++ b/crates/spurpier-pipeline/src/places/mod.rs
@@ -5,6 +5,7 @@
 
 mod closing;
 mod cold;
+mod demand;
 mod evacuations;
 mod gate;
 
@@ -16,6 +17,7 @@
 
 pub use self::closing::close_evacuated;
 pub use self::cold::{ColdGate, ColdServers, NoLeave, Patience};
+use self::demand::PrimaryDemand;
 pub use self::evacuations::FollowedEvacuations;
 pub use self::gate::ZoneGate;
 use crate::clock::Clock;
@@ -27,6 +29,9 @@
 /// When a client should come back that no allowed server can serve: the primary may be moved, or
 /// the configuration changed.
 const REGION_RETRY: Duration = Duration::from_millis(1_000);
+/// When a client should come back whose route and tenant have no region in common: nothing but
+/// another configuration changes that.
+const NO_REGION_RETRY: Duration = Duration::from_secs(5);
 /// When a client should come back that only a server of an evacuated zone could serve: about how
 /// long a primary's replacement takes.
 const EVACUATION_RETRY: Duration = Duration::from_millis(600);
@@ -36,6 +41,8 @@
 pub enum Bar {
     /// It stands in a region that the route or the tenant does not allow.
     Region,
+    /// The route and the tenant have no region in common.
+    NoRegion,
     /// Its zone is evacuated.
     Evacuated,
     /// It is cold and takes no more for so long.
@@ -53,6 +60,7 @@
     pub const fn text(self) -> &'static str {
         match self {
             Bar::Region => "region_not_allowed",
+            Bar::NoRegion => "no_region_allowed",
             Bar::Evacuated => "zone_evacuated",
             Bar::Cold(_) => "server_cold",
         }
@@ -62,6 +70,7 @@
     pub const fn retry_after(self) -> Duration {
         match self {
             Bar::Region => REGION_RETRY,
+            Bar::NoRegion => NO_REGION_RETRY,
             Bar::Evacuated => EVACUATION_RETRY,
             Bar::Cold(pause) => pause,
         }
@@ -75,6 +84,19 @@
     Leaving,
     /// Its zone is evacuated.
     Evacuated,
+    /// Much of what needs it may not run where it stands.
+    Demand,
+}
+
+impl MoveReason {
+    /// Its name in logs.
+    pub const fn text(self) -> &'static str {
+        match self {
+            MoveReason::Leaving => "leaving",
+            MoveReason::Evacuated => "evacuated",
+            MoveReason::Demand => "demand",
+        }
+    }
 }
 
 /// What this node knows of places.
@@ -86,6 +108,8 @@
     pub evacuations: FollowedEvacuations,
     /// The transactions that stand open on this node's connections.
     pub open_transactions: OpenTransactions,
+    /// What is asked of the primaries, by regions.
+    pub demand: PrimaryDemand,
 }
 
 impl Places {
@@ -96,6 +120,7 @@
             regions: settings.zones.clone(),
             evacuations: FollowedEvacuations::new(bound, clock.clone()),
             open_transactions: OpenTransactions::default(),
+            demand: PrimaryDemand::default(),
         }
     }
 
@@ -142,14 +167,19 @@
     /// Why a group's primary, which serves, is to be replaced; none if it is to stay.
     pub fn reason_to_move(
         &self,
-        _group: &Group,
+        group: &Group,
         lead: &Server,
-        _now: Timestamp,
+        now: Timestamp,
     ) -> Option<MoveReason> {
         if !lead.is_staying() {
             return Some(MoveReason::Leaving);
         }
-        lead.is_evacuated().then_some(MoveReason::Evacuated)
+        if lead.is_evacuated() {
+            return Some(MoveReason::Evacuated);
+        }
+        let wish = self.demand.wish(&group.name, now)?;
+        let stands_there = self.region(&lead.listing().entry.zone) == Some(wish.as_str());
+        (!stands_there).then_some(MoveReason::Demand)
     }
 
     /// Whether a server may become its group's primary at all, as far as places tell.
@@ -158,8 +188,21 @@
     }
 
     /// How well a server's place fits as that of its group's primary; the greater one goes first
-    /// among servers that have received as much: a cold one is slow, and may take few requests.
-    pub fn fit(&self, _group: &Group, server: &Server, now: Timestamp) -> u64 {
-        u64::from(!server.is_cold(now))
+    /// among servers that have received as much.
+    ///
+    /// A warm one goes first: a cold one is slow, and may take few requests. Then it counts the work
+    /// that this node knows to be allowed there: what its own clients ask for, and what all do at
+    /// the home that decides on moves.
+    pub fn fit(&self, group: &Group, server: &Server, now: Timestamp) -> u64 {
+        /// Above all demand.
+        const WARM: u64 = 1 << 63;
+        let region = self.region(&server.listing().entry.zone);
+        let allowed = region.map_or(0, |region| self.demand.allowed_in(&group.name, region));
+        let allowed = allowed.min(WARM - 1);
+        if server.is_cold(now) {
+            allowed
+        } else {
+            WARM + allowed
+        }
     }
 }
--- a/crates/spurpier-pipeline/src/unit/read.rs
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -66,36 +66,45 @@
             Ok(floor) => floor,
             Err(reason) => return self.refuse(&work.id, reason),
         };
+        loop {
+            match self.read_behind(work, &mut floor).await {
+                Ok(answer) => return answer,
+                Err(NotRun::NoFreshServer) if self.await_replica().await => {}
+                Err(reason) => return self.refuse(&work.id, reason),
+            }
+        }
+    }
+
+    /// Runs a read behind a position, on each of the best servers at most once; gives an answer to
+    /// pass on, or why it has not run.
+    async fn read_behind(&self, work: &Work, floor: &mut Position) -> Result<Answer, NotRun> {
         let mut tried = Vec::new();
         let mut refused = self.no_reader();
         for _ in 0..ATTEMPTS {
-            let Some(place) = self.next_reader(floor, &mut tried, &mut refused).await else {
+            let Some(place) = self.next_reader(*floor, &mut tried, &mut refused).await else {
                 break;
             };
             let server = Arc::clone(&place.server);
             let until = self.attempt_end();
-            let manner = Manner::Alone(after(floor));
+            let manner = Manner::Alone(after(*floor));
             let (_, result) = self.attempt(place, work, manner, until).await;
             match self.judge_read(work, &server, result) {
-                Ok(answer) => return answer,
+                Ok(answer) => return Ok(answer),
                 Err(reason) => refused = reason,
             }
             if self.context.clock.now() >= self.times.give_up {
-                return self.doubt(&work.id, ErrorClass::Timeout, &server.instance);
+                return Ok(self.doubt(&work.id, ErrorClass::Timeout, &server.instance));
             }
             if is_failure(refused) && !self.context.may_retry() {
                 break;
             }
             if refused == NotRun::NoFreshServer && self.is_lead(&server) {
                 // The lead itself lacks the position: it was dropped when the lead changed.
-                match self.newest_floor().await {
-                    Ok(newest) => floor = newest,
-                    Err(reason) => return self.refuse(&work.id, reason),
-                }
+                *floor = self.newest_floor().await?;
                 tried.clear();
             }
         }
-        self.refuse(&work.id, refused)
+        Err(refused)
     }
 
     /// An answer to pass on, or why another server is to be tried.
@@ -199,21 +208,15 @@
     }
 
     /// Why a read must not go to a server now; none if it may.
-    fn bar_to_read(&self, server: &Server, now: Timestamp) -> Option<Bar> {
+    pub(super) fn bar_to_read(&self, server: &Server, now: Timestamp) -> Option<Bar> {
         let places = &self.context.places;
         places.bar_to_read(&self.allowed_regions, server, now)
     }
 
     /// Why no server can be tried at all: what bars those that stay, if that is so of each.
     pub(super) fn no_reader(&self) -> NotRun {
-        let now = self.context.clock.now();
-        let servers = self.group.servers();
-        let staying = servers.iter().filter(|server| server.is_staying());
-        let bars: Option<Vec<Bar>> = staying
-            .map(|server| self.bar_to_read(server, now))
-            .collect();
-        let bar = bars.and_then(|bars| bars.first().copied());
-        bar.map_or(NotRun::NoServer, NotRun::Barred)
+        self.bar_at_servers()
+            .map_or(NotRun::NoServer, NotRun::Barred)
     }
 
     /// The position of a proof that covers all that was acknowledged before now.
