--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use spurpier_core::lead::{Distance, Succession, holds_lease};
@@ -41,6 +41,27 @@
 /// Connections that a server is taken to allow before the configuration is known.
 const UNKNOWN_LIMIT: usize = 8;
 
+/// The groups that this node is a home of.
+#[derive(Debug)]
+pub struct ServedGroups {
+    /// Their names, as the homes give them.
+    names: Arc<[String]>,
+    groups: Vec<Arc<Group>>,
+}
+
+impl Default for ServedGroups {
+    fn default() -> Self {
+        ServedGroups {
+            names: Arc::from([]),
+            groups: Vec::new(),
+        }
+    }
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// What all sessions and tasks of a node share.
 pub struct Context {
     /// The node's settings.
@@ -63,6 +84,10 @@
     pub groups: Mutex<BTreeMap<String, Arc<Group>>>,
     /// The groups that this node stands in for or sees to, and some that it has just ceased to.
     pub visited: Mutex<BTreeMap<String, Arc<Group>>>,
+    /// The groups that this node is a home of, as last looked up.
+    pub served_groups: Mutex<ServedGroups>,
+    /// Groups of which a server's entry has gone; its servers are to be forgotten in time.
+    pub groups_with_gone: Mutex<BTreeSet<String>>,
     /// The pools that have connections to servers.
     pub open_pools: Arc<OpenPools>,
     /// The other nodes, and which nodes are the homes of each group.
@@ -137,21 +162,30 @@
         let Some(served) = self.homes.served() else {
             return self.all_groups();
         };
-        let served = served.iter().filter_map(|name| self.known_group(name));
-        let mut groups: Vec<Arc<Group>> = served.collect();
+        let mut groups = self.served_groups(served);
         let now = self.clock.now();
-        let mut visited = self.visited.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut visited = locked(&self.visited);
         visited.retain(|_, group| group.stands_in(now) || group.is_attended());
-        let others = visited
-            .values()
-            .filter(|group| !self.homes_of(&group.name).is_own);
+        let others = visited.values();
+        let others = others.filter(|group| !self.homes_of(&group.name).is_own);
         groups.extend(others.map(Arc::clone));
         groups
     }
 
+    /// The groups of these names, looked up only if the names are others than the last time.
+    fn served_groups(&self, names: Arc<[String]>) -> Vec<Arc<Group>> {
+        let mut known = locked(&self.served_groups);
+        if !Arc::ptr_eq(&known.names, &names) {
+            let groups = names.iter().filter_map(|name| self.known_group(name));
+            let groups = groups.collect();
+            *known = ServedGroups { names, groups };
+        }
+        known.groups.clone()
+    }
+
     /// Takes in that this node stands in for a group's homes, or sees to its primary.
     pub fn note_visited(&self, group: &Arc<Group>) {
-        let mut visited = self.visited.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut visited = locked(&self.visited);
         visited.insert(group.name.clone(), Arc::clone(group));
     }
 
--- a/crates/spurpier-pipeline/src/homes/fleet.rs
+++ b/crates/spurpier-pipeline/src/homes/fleet.rs
@@ -53,6 +53,8 @@
     numbers: HashMap<String, usize>,
     /// The groups that this node is a home of.
     served: BTreeSet<usize>,
+    /// Their names; none if they have changed since.
+    served_names: Option<Arc<[String]>>,
     /// The groups whose first ranks have moved since the last batch was settled.
     moved: BTreeSet<usize>,
     shape: Shape,
@@ -67,6 +69,7 @@
             groups: Vec::new(),
             numbers: HashMap::new(),
             served: BTreeSet::new(),
+            served_names: None,
             moved: BTreeSet::new(),
             shape: Shape { nodes: 0, zones: 0 },
         }
@@ -149,12 +152,14 @@
         number
     }
 
-    /// The groups that this node is a home of.
-    pub(super) fn served(&self) -> Vec<String> {
-        let served = self.served.iter();
-        served
-            .map(|number| self.groups[*number].name.clone())
-            .collect()
+    /// The groups that this node is a home of; the same list while it is a home of the same.
+    pub(super) fn served(&mut self) -> Arc<[String]> {
+        let (served, groups) = (&self.served, &self.groups);
+        let names = || {
+            let served = served.iter();
+            served.map(|number| groups[*number].name.clone()).collect()
+        };
+        Arc::clone(self.served_names.get_or_insert_with(names))
     }
 
     /// Puts a group's homes together from the ranks; tells whether they have changed.
@@ -170,10 +175,13 @@
         });
         let chosen = ranked.map(|node| self.nodes[&node.key()].clone());
         let homes = place.gather(chosen.collect());
-        if homes.is_own {
-            self.served.insert(number);
+        let is_new = if homes.is_own {
+            self.served.insert(number)
         } else {
-            self.served.remove(&number);
+            self.served.remove(&number)
+        };
+        if is_new {
+            self.served_names = None;
         }
         let group = &mut self.groups[number];
         group.per_zone = per_zone;
--- a/crates/spurpier-pipeline/src/homes/mod.rs
+++ b/crates/spurpier-pipeline/src/homes/mod.rs
@@ -316,8 +316,8 @@
 
     /// The groups that this node is a home of, among those that were asked for; none before the
     /// list was read, when it is a home of all.
-    pub fn served(&self) -> Option<Vec<String>> {
-        let inner = self.lock();
+    pub fn served(&self) -> Option<Arc<[String]>> {
+        let mut inner = self.lock();
         inner.nodes.as_ref()?;
         Some(inner.fleet.served())
     }
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -190,6 +190,8 @@
             configuration: watch::Sender::new(None),
             groups: Mutex::default(),
             visited: Mutex::default(),
+            served_groups: Mutex::default(),
+            groups_with_gone: Mutex::default(),
             open_pools: Arc::default(),
             links,
             store_lost: AtomicBool::new(false),
--- a/crates/spurpier-pipeline/tests/homes.rs
+++ b/crates/spurpier-pipeline/tests/homes.rs
@@ -216,7 +216,7 @@
             let own = after.iter().enumerate().filter(|(_, homes)| homes.is_own);
             let own: BTreeSet<String> = own.map(|(number, _)| group(number)).collect();
             let served = homes.served().expect("the list is known");
-            prop_assert_eq!(served.into_iter().collect::<BTreeSet<_>>(), own);
+            prop_assert_eq!(served.iter().cloned().collect::<BTreeSet<_>>(), own);
             before = after;
         }
     }
