Take a group as without a lead only while the own decision is its newest known one

Cause: a node that had made a primary step down would have passed over the sight of the others although it had learnt of another node's decision since.

--- a/crates/spurpier-pipeline/src/duty/evacuation.rs
+++ b/crates/spurpier-pipeline/src/duty/evacuation.rs
@@ -105,8 +105,8 @@
     /// Whether no server leads the group, since this node made the primary step down and has ordered
     /// none to lead.
     pub(super) fn has_no_lead(&self) -> bool {
-        self.step_down
-            .is_some_and(|known| known.unordered.is_some())
+        let unordered = self.step_down.and_then(|known| known.unordered);
+        unordered == Some(self.group.token())
     }
 
     /// Whether that is so still, by the duty as it stands in the store: then nobody can use a lead
--- a/crates/spurpier-pipeline/src/places/closing.rs
+++ b/crates/spurpier-pipeline/src/places/closing.rs
@@ -5,6 +5,7 @@
 
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
+use tokio::sync::watch;
 
 use crate::context::Context;
 use crate::events;
@@ -32,11 +33,7 @@
     }
 }
 
-async fn wait(
-    context: &Context,
-    changes: &mut tokio::sync::watch::Receiver<u64>,
-    until: Option<Timestamp>,
-) {
+async fn wait(context: &Context, changes: &mut watch::Receiver<u64>, until: Option<Timestamp>) {
     // The sender lives as long as the context; either way the zones are looked at again.
     match until {
         Some(until) => {
