Tell of regions that a configuration names and no zone has

Such a name is most likely a slip, and nothing told of it but refusals. A gauge and a warning with the places do now, at every node. The configuration is in force all the same: ruled out to refuse it, since the operator's store has taken it, and a node that stayed with the former one would serve what is not allowed any more. A region that is named twice is a set and no fault.

--- a/crates/spurpier-pipeline/src/configuration/mod.rs
+++ b/crates/spurpier-pipeline/src/configuration/mod.rs
@@ -1,6 +1,7 @@
 //! The configuration in force on this node; it only ever moves to a newer version.
 
 mod check;
+mod regions;
 mod rows;
 
 use std::collections::HashMap;
@@ -10,6 +11,7 @@
 use spurpier_events::log_event;
 
 use self::check::TenantFinding;
+use self::regions::{UnknownRegion, unknown_regions};
 pub use self::rows::{allowed_regions, region_names};
 use crate::context::Context;
 use crate::directory::share_connections;
@@ -19,6 +21,9 @@
 use crate::quota::TenantQuota;
 use crate::tenant::{Caller, Denied};
 
+/// How many findings one log line names; thousands of routes may name the same region.
+const MOST_TOLD: usize = 20;
+
 /// How a client's statements are served.
 #[derive(Debug, Clone)]
 pub struct Admitted {
@@ -200,6 +205,20 @@
     );
 }
 
+fn log_unknown_regions(version: u64, unknown: &[UnknownRegion]) {
+    if unknown.is_empty() {
+        return;
+    }
+    let named = unknown.iter().take(MOST_TOLD).map(ToString::to_string);
+    let named: Vec<String> = named.collect();
+    log_event!(
+        events::REGIONS_UNKNOWN,
+        version = version,
+        count = unknown.len(),
+        findings = named.join("; ")
+    );
+}
+
 fn log_malformed(key: &str) {
     log_event!(events::ROW_MALFORMED, table = "configuration", key = key);
 }
@@ -213,6 +232,7 @@
             .group(&group.name)
             .set_synchronous_replicas(replicas);
     }
+    let unknown = unknown_regions(&configuration, &context.places.known_regions());
     let newer = Arc::new(InForce::new(configuration));
     let changed = context.configuration.send_if_modified(|current| {
         let known = current.as_ref().map(|known| known.configuration.version);
@@ -224,5 +244,7 @@
     });
     if changed {
         log_event!(events::CONFIGURATION_IN_FORCE, version = version);
+        context.metrics.note_unknown_regions(unknown.len());
+        log_unknown_regions(version, &unknown);
     }
 }
--- a/crates/spurpier-pipeline/src/metrics.rs
+++ b/crates/spurpier-pipeline/src/metrics.rs
@@ -92,6 +92,7 @@
     homes: Family<GroupLabels, Gauge>,
     configuration: Gauge,
     refused_configuration: Gauge,
+    unknown_regions: Gauge,
     missed_news: Family<Kind, Counter>,
     table_ages: Family<TableLabels, Gauge>,
 }
@@ -119,6 +120,7 @@
             homes: Family::default(),
             configuration: Gauge::default(),
             refused_configuration: Gauge::default(),
+            unknown_regions: Gauge::default(),
             missed_news: Family::default(),
             table_ages: Family::default(),
         };
@@ -160,6 +162,9 @@
             text,
             self.refused_configuration.clone(),
         );
+        let text =
+            "Regions that the configuration in force names and no zone has, once for each naming";
+        registry.register("unknown_regions", text, self.unknown_regions.clone());
         let text = "Questions to other nodes for a table that were of no use, by reason";
         registry.register("missed_news", text, self.missed_news.clone());
         let text = "How long ago the store last told of a table, in milliseconds; -1 before it did";
@@ -172,6 +177,11 @@
         self.refused_configuration.set(version);
     }
 
+    /// Tells how often the configuration in force names regions that no zone has.
+    pub fn note_unknown_regions(&self, count: usize) {
+        self.unknown_regions.set(as_gauge(count));
+    }
+
     /// Counts a client's statement.
     pub fn count_statement(&self, answer: &Answer, taken: Duration) {
         let kind = Ended::of(answer).text();
--- a/crates/spurpier-pipeline/src/places/mod.rs
+++ b/crates/spurpier-pipeline/src/places/mod.rs
@@ -5,7 +5,7 @@
 
 mod demand;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use spurpier_core::places::AllowedRegions;
@@ -107,6 +107,11 @@
         self.regions.get(zone).map(String::as_str)
     }
 
+    /// The regions of all zones.
+    pub fn known_regions(&self) -> BTreeSet<&str> {
+        self.regions.values().map(String::as_str).collect()
+    }
+
     /// Whether a unit with these allowed regions may go to a zone.
     pub fn allows(&self, allowed: &AllowedRegions, zone: &str) -> bool {
         allowed.allows(self.region(zone))
