--- a/crates/spurpier-core/tests/lead.rs
+++ b/crates/spurpier-core/tests/lead.rs
@@ -262,6 +262,18 @@
     }
 }
 
+#[test]
+fn among_replicas_that_received_as_much_the_one_that_fits_best_takes_over() {
+    let fitting = |offset, fit| Candidate {
+        fit,
+        ..candidate(Some(offset), true)
+    };
+    let equal = [fitting(5, 1), fitting(5, 9), fitting(5, 2)];
+    assert_eq!(choose_successor(&equal, 0), Some(1));
+    let ahead = [fitting(5, 9), fitting(6, 0)];
+    assert_eq!(choose_successor(&ahead, 0), Some(1), "nothing is lost");
+}
+
 #[test]
 fn the_replica_that_received_most_takes_over() {
     let candidates = [
