--- a/crates/spurpier-pipeline/src/events.rs
+++ b/crates/spurpier-pipeline/src/events.rs
@@ -37,6 +37,7 @@
     SUCCESSION_KNOWN = 6045, "succession_known", Info, "a server takes over its group, and no other is used as the lead from now on", "none if planned";
     NODES_AWAITED = 6046, "nodes_awaited", Warn, "nodes that may still use a former primary do not answer; its successor waits until their leases have ended", "see the nodes that are named";
     PRIMARY_MOVES = 6070, "primary_moves", Info, "a primary that serves hands its group over to another server", "none; the reason tells why, and demand that much of the group's work is not allowed where the primary stands";
+    REGIONS_UNKNOWN = 6071, "regions_unknown", Warn, "the configuration in force names regions that no zone has; what is bound to them alone is refused", "mend what the findings name, by their place, or add the region to the settings' zones";
     SERVER_COLD = 6130, "server_cold", Info, "a server is cold; where its group has a cold rate, messages to it are counted over all nodes", "none";
     SERVER_WARM = 6131, "server_warm", Info, "a server that was cold is warm again and takes any number of messages", "none";
 }
