Set the quota's slack aside for zones that are cut off

Now the slack but for one leave is divided among the zones of the settings, whatever the limit.

Model, 8 s cut of a zone of two, five limits: 18 served or more for each; before 3 for the largest limit and none for the next three. A bucket of a new authority begins with less than one leave where the rate gives none in a vote's life; the remainder that used to cover this is set aside now.

--- a/crates/spurpier-core/src/quota/bucket.rs
+++ b/crates/spurpier-core/src/quota/bucket.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use super::budget::Budget;
+use super::budget::{Budget, VOTE_LIFE};
 use crate::time::Timestamp;
 
-/// What a new bucket holds.
+/// The most that a new bucket holds.
 const FIRST_LEAVES: f64 = 1.0;
 
 /// The leaves of one tenant at an authority.
@@ -18,13 +18,15 @@
 }
 
 impl Bucket {
-    /// A bucket that held one leave at a moment, so that a lone operation is not refused. An empty
-    /// one may follow a bucket that another authority held without a pause: what that one gave in
-    /// the past and what this one gives from then on add up to the rate.
+    /// A bucket that held one leave at a moment, so that a lone operation is not refused; less than
+    /// one for a rate that gives none within the life of a vote, for which no authority gives when
+    /// it changes. What the former one gave in the past and what this one gives from then on add up
+    /// to the rate.
     pub fn begun_at(budget: Budget, moment: Timestamp) -> Self {
+        let missed = budget.per_second * VOTE_LIFE.as_secs_f64();
         Bucket {
             budget,
-            level: FIRST_LEAVES.min(budget.capacity),
+            level: missed.min(FIRST_LEAVES),
             filled_at: moment,
         }
     }
--- a/crates/spurpier-core/src/quota/budget.rs
+++ b/crates/spurpier-core/src/quota/budget.rs
@@ -10,12 +10,9 @@
 pub const LEAVE_LIFE: Duration = Duration::from_millis(400);
 /// How much later than its start an operation may reach a server: it waits for a connection for a
 /// fifth of its target at most.
-const RUN_DELAY: Duration = Duration::from_millis(200);
-/// The part of the remaining allowance that an authority may save up; the rest is for authorities
-/// that less than half of the nodes ask.
-const CAPACITY_PART: f64 = 0.7;
+pub(super) const RUN_DELAY: Duration = Duration::from_millis(200);
 /// The least that an authority may save up: less than one leave is never given out.
-const LEAST_CAPACITY: f64 = 1.0;
+pub(super) const LEAST_CAPACITY: f64 = 1.0;
 
 /// How much a tenant may ask for.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -54,40 +51,28 @@
     pub per_second: f64,
     /// Leaves that it may save up.
     pub capacity: f64,
-    /// Leaves that all other authorities together may give in a window.
-    pub remainder: f64,
+    /// Leaves that are set aside in each window for zones that are cut off.
+    pub set_aside: f64,
     /// The length of the window.
     pub window: Duration,
 }
 
 impl Budget {
-    /// Divides what the bound allows. What is given before a window and used in it comes off first.
+    /// Divides what the bound allows. What is given before a window and used in it comes off first,
+    /// and the slack is set aside for the zones but for one leave.
     pub fn of(rate: QuotaRate, bound: QuotaBound) -> Self {
         let seconds = (bound.window + LEAVE_LIFE + RUN_DELAY).as_secs_f64();
-        let most = bound.most(rate);
+        let set_aside = (bound.slack - LEAST_CAPACITY).max(0.0);
+        let most = bound.most(rate) - set_aside;
         // A burst that is small beside the rate leaves less than the rate.
         let highest = (most - LEAST_CAPACITY).max(0.0) / seconds;
         let per_second = rate.per_second.min(highest);
         let rest = most - per_second * seconds;
-        let capacity = rest * CAPACITY_PART;
-        let capacity = capacity.min(rate.burst).max(LEAST_CAPACITY);
-        let in_window = per_second * bound.window.as_secs_f64();
         Budget {
             per_second,
-            capacity,
-            remainder: (rest - capacity).clamp(0.0, in_window),
+            capacity: rest.min(rate.burst).max(LEAST_CAPACITY),
+            set_aside,
             window: bound.window,
         }
     }
-
-    /// The budget of an authority with this part of all votes, which is no majority: half of its
-    /// part of the remainder at once, and the other half over a window.
-    pub fn minority(&self, part: f64) -> Self {
-        let share = self.remainder * part / 2.0;
-        Budget {
-            per_second: share / self.window.as_secs_f64(),
-            capacity: share,
-            ..*self
-        }
-    }
 }
--- a/crates/spurpier-core/src/quota/choice.rs
+++ b/crates/spurpier-core/src/quota/choice.rs
@@ -2,21 +2,22 @@
 
 use std::time::Duration;
 
-use super::authority::Stamp;
-use super::budget::VOTE_LIFE;
+use super::votes::Stamp;
 use crate::time::Timestamp;
 
-/// How long a node stays with the first-ranked authority although that has no majority: nodes that
-/// left another one have come to it by then.
-const PATIENCE: Duration = Duration::from_millis(1_200);
+/// How long a node stays with the first-ranked authority although that has no majority, in lives of
+/// a vote: nodes that left another one have come to it by then. 1.2 s for the authority of all nodes.
+const PATIENCE: f64 = 12.0 / 7.0;
 
 /// A node's choice among the authorities of a tenant, which are ranked alike on all nodes.
 ///
 /// A node asks another one only when its vote for the former is over, so that no two have the
 /// votes of most nodes at the same time. It stays with one that has a majority, so that an
 /// authority which comes back does not make all nodes change again.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct AuthorityChoice {
+    /// How long a question counts as a vote.
+    vote_life: Duration,
     current: Option<Current>,
 }
 
@@ -33,19 +34,28 @@
 
 impl Current {
     /// Until when its question may count as a vote, wherever that is by then.
-    fn vote_ends_at(&self) -> Option<Timestamp> {
-        self.asked_at.map(|asked_at| asked_at + VOTE_LIFE)
+    fn vote_ends_at(&self, vote_life: Duration) -> Option<Timestamp> {
+        self.asked_at.map(|asked_at| asked_at + vote_life)
     }
 }
 
 impl AuthorityChoice {
+    /// No choice yet, among authorities where a vote counts for so long.
+    pub fn new(vote_life: Duration) -> Self {
+        AuthorityChoice {
+            vote_life,
+            current: None,
+        }
+    }
+
     /// The authority to ask now, out of those that can be reached, in their order; none while the
     /// vote for the former one lasts, or if none can be reached.
     pub fn choose(&mut self, reachable: &[&str], now: Timestamp) -> Option<&str> {
         let wanted = self.wanted(reachable, now)?;
         let is_current = |current: &Current| current.name == wanted;
         if !self.current.as_ref().is_some_and(is_current) {
-            let vote_ends_at = self.current.as_ref().and_then(Current::vote_ends_at);
+            let current = self.current.as_ref();
+            let vote_ends_at = current.and_then(|current| current.vote_ends_at(self.vote_life));
             if vote_ends_at.is_some_and(|ends_at| ends_at > now) {
                 return None;
             }
@@ -109,7 +119,7 @@
         if place > 0 {
             return Some(first);
         }
-        if now.since(current.chosen_at) < PATIENCE {
+        if now.since(current.chosen_at) < self.vote_life.mul_f64(PATIENCE) {
             return Some(first);
         }
         // Most nodes may have stayed with another one.
--- a/crates/spurpier-core/src/quota/mod.rs
+++ b/crates/spurpier-core/src/quota/mod.rs
@@ -6,20 +6,28 @@
 //! escrow method (O'Neil, "The Escrow Transactional Method", 1986). A count that is told afterwards
 //! would let a tenant with seven times its usual load exceed its bound within half a second.
 //!
-//! A node asks one authority at a time and thereby votes for it ([`AuthorityChoice`]). Only an authority that more than
-//! half of all listed nodes have asked within [`VOTE_LIFE`] gives the whole rate; any other gives
-//! its voters' part of a small remainder that is set aside for that ([`Budget`]). A vote counts from
-//! before it was sent, by the authority's own clock ([`Stamp`]), so that questions which were long
-//! on the way, or met an authority that stood still, are none.
+//! A node asks one authority at a time and thereby votes for it ([`AuthorityChoice`]). Only an
+//! authority that more than half of all listed nodes have asked within [`VOTE_LIFE`] gives leaves. A
+//! vote counts from before it was sent, by the authority's own clock ([`Stamp`]), so that questions
+//! which were long on the way, or met an authority that stood still, are none.
+//!
+//! A part of each bound is set aside for the zones ([`Budget`], [`ZonePlace`]). While a zone has lost
+//! the authority of all nodes, its own ([`ZoneAuthority`]), which most of the zone's nodes have asked,
+//! gives leaves out of the zone's part. The parts are the same whoever is cut off, so that all zones
+//! together stay within the bound.
 
 mod authority;
 mod bucket;
 mod budget;
 mod choice;
 mod ledger;
+mod votes;
+mod zone;
 
-pub use authority::{Authority, Grant, Stamp, Want};
+pub use authority::{Authority, Grant, Want};
 pub use bucket::Bucket;
 pub use budget::{Budget, LEAVE_LIFE, QuotaBound, QuotaRate, VOTE_LIFE};
 pub use choice::AuthorityChoice;
 pub use ledger::{Leave, Ledger, Taken};
+pub use votes::Stamp;
+pub use zone::{ZONE_VOTE_LIFE, ZoneAuthority, ZonePlace};
--- a/crates/spurpier-core/tests/quota.rs
+++ b/crates/spurpier-core/tests/quota.rs
@@ -11,9 +11,10 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
-use quota_model::{BOUND, Breakage, NODES, Step, World, steps};
+use quota_model::{BOUND, Breakage, NODES, RATES, Step, World, ZONES, steps};
 use spurpier_core::quota::{
     AuthorityChoice, Bucket, Budget, Grant, LEAVE_LIFE, Ledger, QuotaRate, Stamp, Taken, VOTE_LIFE,
+    ZonePlace,
 };
 use spurpier_core::time::Timestamp;
 
@@ -117,7 +118,7 @@
 #[test]
 fn another_authority_is_asked_when_the_vote_for_the_former_one_is_over() {
     let asked_at = Timestamp::from_millis(10_000);
-    let mut choice = AuthorityChoice::default();
+    let mut choice = AuthorityChoice::new(VOTE_LIFE);
     assert_eq!(choice.choose(&["n0", "n1"], asked_at), Some("n0"));
     choice.note_asked(asked_at);
     let before = (asked_at + VOTE_LIFE).before(Duration::from_millis(1));
@@ -134,7 +135,7 @@
 fn a_node_stays_with_a_majority_and_leaves_a_minority() {
     let start = Timestamp::from_millis(10_000);
     let stamp = Stamp { life: 1, at: start };
-    let mut choice = AuthorityChoice::default();
+    let mut choice = AuthorityChoice::new(VOTE_LIFE);
     assert_eq!(choice.choose(&["n1"], start), Some("n1"));
     choice.note_answer("n1", true, stamp, start);
     let later = start + VOTE_LIFE;
@@ -222,6 +223,107 @@
     }
 }
 
+/// The nodes of the zone that is cut off.
+const CUT_ZONE: u8 = ZONES[1];
+
+/// The second zone and the others no longer reach each other, and know it.
+fn cut_zone_off(world: &mut World) {
+    world.apply(Step::Cut(CUT_ZONE));
+    for node in 0..NODES {
+        let is_cut = (CUT_ZONE >> node) & 1 == 1;
+        world.apply(Step::Believe(
+            node,
+            if is_cut { CUT_ZONE } else { !CUT_ZONE },
+        ));
+    }
+}
+
+fn pass_seconds(world: &mut World, seconds: u8) {
+    (0..seconds).for_each(|_| world.apply(Step::Pass(20)));
+}
+
+/// What the nodes of a zone serve of a tenant beyond its limit while they are cut off for 8 s: its
+/// part of the slack in each of two windows. With the remainder that was shared by votes among all
+/// authorities without a majority, 3 for the largest limit and none for the others.
+#[test]
+fn a_zone_that_is_cut_off_serves_its_part_of_the_slack() {
+    for limit in 0..RATES.len() {
+        let mut world = World::new(Breakage::None);
+        world.apply(Step::Limit(limit));
+        pass_seconds(&mut world, 10);
+        let before = world.started_by(CUT_ZONE);
+        cut_zone_off(&mut world);
+        pass_seconds(&mut world, 8);
+        let served = world.started_by(CUT_ZONE) - before;
+        assert!(served >= 18, "{served} with {:?}", RATES[limit]);
+        assert_eq!(world.broken_window(), None);
+    }
+}
+
+/// Whether a window holds more than its bound once zones are cut off and `then` has happened.
+fn is_broken_in_a_cut(breakage: Breakage, then: impl Fn(&mut World)) -> bool {
+    let mut world = World::new(breakage);
+    world.apply(Step::Limit(4));
+    pass_seconds(&mut world, 10);
+    cut_zone_off(&mut world);
+    then(&mut world);
+    pass_seconds(&mut world, 20);
+    world.broken_window().is_some()
+}
+
+#[test]
+fn nodes_that_are_alone_do_not_use_their_zones_part() {
+    let isolate = |world: &mut World| {
+        (0..NODES).for_each(|node| world.apply(Step::Believe(node, 1 << node)));
+    };
+    assert!(!is_broken_in_a_cut(Breakage::None, isolate));
+    assert!(is_broken_in_a_cut(Breakage::ZoneMajority, isolate));
+}
+
+/// No zone has most of all nodes, and each uses its own part.
+#[test]
+fn zones_that_are_all_cut_off_use_no_more_than_their_parts() {
+    let freeze = |world: &mut World| world.apply(Step::Freeze(2, true));
+    assert!(!is_broken_in_a_cut(Breakage::None, freeze));
+    assert!(is_broken_in_a_cut(Breakage::WholeSlack, freeze));
+}
+
+/// The authority of a zone that is cut off changes again and again, as each one is lost.
+#[test]
+fn authorities_of_a_zone_in_turn_give_no_more_than_one() {
+    let mut world = World::new(Breakage::None);
+    world.apply(Step::Limit(4));
+    pass_seconds(&mut world, 10);
+    cut_zone_off(&mut world);
+    for turn in 0..8 {
+        let authority = 3 + turn % 2;
+        (3..NODES).for_each(|node| world.apply(Step::Believe(node, 1 << authority)));
+        pass_seconds(&mut world, 4);
+    }
+    assert_eq!(world.broken_window(), None);
+}
+
+/// What is set aside for all zones is the same for each tenant, and never more than the slack.
+#[test]
+fn the_zones_parts_add_up_to_the_slack() {
+    for count in 2..40 {
+        for tenant in ["a", "b", "c", "tenant"] {
+            let places = (0..count).map(|index| ZonePlace { index, count });
+            let parts = places.map(|place| place.allowance(tenant, BOUND));
+            assert_eq!(parts.sum::<usize>(), 19);
+        }
+    }
+}
+
+#[test]
+fn a_zone_that_is_unknown_or_alone_has_no_part() {
+    let zones = ["b", "a", "c"];
+    let place = ZonePlace::of("b", zones.into_iter());
+    assert_eq!(place, Some(ZonePlace { index: 1, count: 3 }));
+    assert_eq!(ZonePlace::of("d", zones.into_iter()), None);
+    assert_eq!(ZonePlace::of("a", ["a"].into_iter()), None);
+}
+
 #[test]
 fn the_second_authority_takes_over_when_the_first_stands_still() {
     let mut world = World::new(Breakage::None);
@@ -248,7 +350,7 @@
         assert!(budget.capacity >= 1.0);
         let early = LEAVE_LIFE + Duration::from_millis(200);
         let used = per_second * (BOUND.window + early).as_secs_f64();
-        let most = used + budget.capacity + budget.remainder;
+        let most = used + budget.capacity + budget.set_aside;
         assert!(most <= BOUND.most(rate) + 1e-6, "{per_second}: {most}");
     }
 }
--- a/crates/spurpier-core/tests/quota_model/mod.rs
+++ b/crates/spurpier-core/tests/quota_model/mod.rs
@@ -4,16 +4,21 @@
 
 use proptest::prelude::*;
 use spurpier_core::quota::{
-    Authority, AuthorityChoice, Grant, Leave, Ledger, QuotaBound, QuotaRate, Stamp, Taken, Want,
+    Authority, AuthorityChoice, Grant, Leave, Ledger, QuotaBound, QuotaRate, Stamp, Taken,
+    VOTE_LIFE, Want, ZONE_VOTE_LIFE, ZoneAuthority, ZonePlace,
 };
 use spurpier_core::time::Timestamp;
 
 /// How many nodes there are; all are ranked as authorities, in the order of their numbers.
 pub const NODES: usize = 5;
+/// The nodes of each zone.
+pub const ZONES: [u8; 2] = [0b0_0111, 0b1_1000];
 /// How long a turn of the model takes.
 const TURN: Duration = Duration::from_millis(50);
 /// How often a node votes that asks for nothing.
 const VOTE_INTERVAL: Duration = Duration::from_millis(300);
+/// How often a node votes for the authority of its zone.
+const ZONE_VOTE_INTERVAL: Duration = Duration::from_millis(1_200);
 /// The most time between the start of an operation and its arrival at a server.
 const LONGEST_RUN: u64 = 200;
 
@@ -28,11 +33,12 @@
 };
 
 /// The limits that a configuration may set.
-const RATES: [QuotaRate; 4] = [
+pub const RATES: [QuotaRate; 5] = [
     rate(200.0, 200.0),
     rate(40.0, 40.0),
     rate(8.0, 8.0),
     rate(60.0, 10.0),
+    rate(1.0, 1.0),
 ];
 
 const fn rate(per_second: f64, burst: f64) -> QuotaRate {
@@ -47,6 +53,10 @@
     NoMajority,
     /// A vote counts from when it arrives.
     OldVotes,
+    /// The authority of a zone gives the zone's part whoever asks.
+    ZoneMajority,
+    /// Each zone takes itself for the only one.
+    WholeSlack,
 }
 
 impl Breakage {
@@ -93,6 +103,13 @@
     ]
 }
 
+/// Whom an authority counts for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Scope {
+    All,
+    Zone,
+}
+
 #[derive(Debug)]
 enum Message {
     Question {
@@ -117,6 +134,7 @@
     asked_at: Timestamp,
     /// The life of the process that asked.
     life: u32,
+    scope: Scope,
     message: Message,
 }
 
@@ -124,18 +142,30 @@
 struct Node {
     ledger: Ledger,
     authority: Authority,
+    zone_authority: ZoneAuthority,
     choice: AuthorityChoice,
+    zone_choice: AuthorityChoice,
     reachable: u8,
     is_frozen: bool,
     life: u32,
 }
 
 impl Node {
-    fn new(life: u32) -> Self {
+    fn choice(&mut self, scope: Scope) -> &mut AuthorityChoice {
+        match scope {
+            Scope::All => &mut self.choice,
+            Scope::Zone => &mut self.zone_choice,
+        }
+    }
+
+    fn new(life: u32, place: ZonePlace) -> Self {
+        let life_of_process = u64::from(life);
         Node {
             ledger: Ledger::default(),
-            authority: Authority::new(BOUND, u64::from(life)),
-            choice: AuthorityChoice::default(),
+            authority: Authority::new(BOUND, life_of_process),
+            zone_authority: ZoneAuthority::new(BOUND, place, life_of_process),
+            choice: AuthorityChoice::new(VOTE_LIFE),
+            zone_choice: AuthorityChoice::new(ZONE_VOTE_LIFE),
             reachable: u8::MAX,
             is_frozen: false,
             life,
@@ -158,6 +188,8 @@
     /// The limits and since when they hold.
     limits: Vec<(Timestamp, QuotaRate)>,
     arrivals: Vec<Timestamp>,
+    /// How many operations each node has started.
+    started: [usize; NODES],
     /// Tells apart the times that operations take.
     turns: u64,
 }
@@ -168,7 +200,9 @@
         World {
             breakage,
             now: start,
-            nodes: (0..NODES).map(|_| Node::new(0)).collect(),
+            nodes: (0..NODES)
+                .map(|node| Node::new(0, place_of(node, breakage)))
+                .collect(),
             mail: Vec::new(),
             cut: 0,
             delay: Duration::from_millis(20),
@@ -177,6 +211,7 @@
             rate: RATES[1],
             limits: vec![(start, RATES[1])],
             arrivals: Vec::new(),
+            started: [0; NODES],
             turns: 0,
         }
     }
@@ -187,7 +222,10 @@
             Step::Cut(set) => self.cut = set,
             Step::Believe(node, set) => self.nodes[node].reachable = set,
             Step::Freeze(node, is_frozen) => self.nodes[node].is_frozen = is_frozen,
-            Step::Restart(node) => self.nodes[node] = Node::new(self.nodes[node].life + 1),
+            Step::Restart(node) => {
+                let life = self.nodes[node].life + 1;
+                self.nodes[node] = Node::new(life, place_of(node, self.breakage));
+            }
             Step::Delay(millis) => self.delay = Duration::from_millis(millis),
             Step::Demand(demand) => self.demand = demand,
             Step::Limit(index) => {
@@ -222,6 +260,13 @@
         self.arrivals.len()
     }
 
+    /// How many operations the nodes of a set have started.
+    pub fn started_by(&self, set: u8) -> usize {
+        let is_in_set = |node: &usize| (set >> node) & 1 == 1;
+        let nodes = (0..NODES).filter(is_in_set);
+        nodes.map(|node| self.started[node]).sum()
+    }
+
     /// What a window that ends at a moment may hold: a lower limit binds a window later.
     fn most_until(&self, end: Timestamp) -> f64 {
         let since = end.before(BOUND.window * 2);
@@ -269,29 +314,14 @@
                 rate,
                 sent_after,
             } => {
-                let nodes = if self.breakage == Breakage::NoMajority {
-                    1
-                } else {
-                    NODES
-                };
                 let want = Want {
                     waiting,
                     rate,
                     version,
                 };
-                let authority = &mut self.nodes[letter.to].authority;
-                let now_stamp = authority.stamp(self.now);
-                let sent_after = match self.breakage {
-                    Breakage::OldVotes => Some(now_stamp),
-                    _ => sent_after,
-                };
-                authority.note_vote(NAMES[letter.from], sent_after, nodes, self.now);
-                let grant = authority.grant(TENANT, want, nodes, 0.5, self.now);
-                let message = Message::Answer {
-                    grant,
-                    waiting,
-                    has_majority: authority.has_majority(),
-                    stamp: now_stamp,
+                let message = match letter.scope {
+                    Scope::All => self.answer_all(&letter, want, sent_after),
+                    Scope::Zone => self.answer_zone(&letter, want, sent_after),
                 };
                 self.mail.push(Mail {
                     from: letter.to,
@@ -307,22 +337,66 @@
                 has_majority,
                 stamp,
             } => {
+                let now = self.now;
                 let node = &mut self.nodes[letter.to];
                 if node.life != letter.life {
                     return;
                 }
                 let name = NAMES[letter.from];
-                node.choice.note_answer(name, has_majority, stamp, self.now);
-                let leaves =
-                    node.ledger
-                        .note_grant(TENANT, grant, waiting, letter.asked_at, self.now);
-                leaves.into_iter().for_each(|leave| self.start(leave));
+                let choice = node.choice(letter.scope);
+                choice.note_answer(name, has_majority, stamp, now);
+                let leaves = node
+                    .ledger
+                    .note_grant(TENANT, grant, waiting, letter.asked_at, now);
+                leaves
+                    .into_iter()
+                    .for_each(|leave| self.start(letter.to, leave));
+                if letter.scope == Scope::All && !has_majority {
+                    self.ask(letter.to, Scope::Zone, waiting);
+                }
             }
         }
     }
 
-    fn start(&mut self, leave: Leave) {
+    fn answer_all(&mut self, letter: &Mail, want: Want, sent_after: Option<Stamp>) -> Message {
+        let nodes = match self.breakage {
+            Breakage::NoMajority => 1,
+            _ => NODES,
+        };
+        let authority = &mut self.nodes[letter.to].authority;
+        let stamp = authority.stamp(self.now);
+        let sent_after = match self.breakage {
+            Breakage::OldVotes => Some(stamp),
+            _ => sent_after,
+        };
+        authority.note_vote(NAMES[letter.from], sent_after, nodes, self.now);
+        Message::Answer {
+            grant: authority.grant(TENANT, want, 0.5, self.now),
+            waiting: want.waiting,
+            has_majority: authority.has_majority(),
+            stamp,
+        }
+    }
+
+    fn answer_zone(&mut self, letter: &Mail, want: Want, sent_after: Option<Stamp>) -> Message {
+        let nodes = match self.breakage {
+            Breakage::ZoneMajority => 1,
+            _ => zone_of(letter.to).count_ones() as usize,
+        };
+        let authority = &mut self.nodes[letter.to].zone_authority;
+        let stamp = authority.stamp(self.now);
+        authority.note_vote(NAMES[letter.from], sent_after, nodes, self.now);
+        Message::Answer {
+            grant: authority.grant(TENANT, want.waiting, 0.5, self.now),
+            waiting: want.waiting,
+            has_majority: authority.has_majority(),
+            stamp,
+        }
+    }
+
+    fn start(&mut self, node: usize, leave: Leave) {
         assert!(leave.ends_at > self.now);
+        self.started[node] += 1;
         let takes = (self.turns * 67 + self.arrivals.len() as u64 * 31) % LONGEST_RUN;
         let arrives_at = self.now + Duration::from_millis(takes);
         self.arrivals.push(arrives_at);
@@ -332,47 +406,85 @@
         let mut waiting = 0;
         for _ in 0..self.demand {
             match self.nodes[node].ledger.take(TENANT, self.now) {
-                Taken::Leave(leave) => self.start(leave),
+                Taken::Leave(leave) => self.start(node, leave),
                 Taken::Limited(_) => {}
                 Taken::Ask => waiting += 1,
             }
         }
-        let asked_for = self.nodes[node].choice.asked_for(self.now);
-        let is_vote_due = asked_for.is_none_or(|time| time >= VOTE_INTERVAL);
-        if waiting > 0 || is_vote_due {
-            self.ask(node, waiting);
+        if waiting > 0 || self.is_vote_due(node, Scope::All, VOTE_INTERVAL) {
+            let is_asked = self.ask(node, Scope::All, waiting);
+            if !is_asked && waiting > 0 {
+                self.ask(node, Scope::Zone, waiting);
+            }
         }
+        if self.is_vote_due(node, Scope::Zone, ZONE_VOTE_INTERVAL) {
+            self.ask(node, Scope::Zone, 0);
+        }
+    }
+
+    fn is_vote_due(&mut self, node: usize, scope: Scope, interval: Duration) -> bool {
+        let now = self.now;
+        let asked_for = self.nodes[node].choice(scope).asked_for(now);
+        asked_for.is_none_or(|time| time >= interval)
     }
 
-    fn ask(&mut self, node: usize, waiting: u32) {
-        let Some(authority) = self.choose(node) else {
-            return;
+    /// Asks an authority; tells whether there is one to ask.
+    fn ask(&mut self, node: usize, scope: Scope, waiting: u32) -> bool {
+        let Some(authority) = self.choose(node, scope) else {
+            return false;
         };
-        self.nodes[node].choice.note_asked(self.now);
+        let now = self.now;
+        let choice = self.nodes[node].choice(scope);
+        choice.note_asked(now);
+        let sent_after = choice.sent_after(now);
         self.mail.push(Mail {
             from: node,
             to: authority,
-            arrives_at: self.now + self.delay,
-            asked_at: self.now,
+            arrives_at: now + self.delay,
+            asked_at: now,
             life: self.nodes[node].life,
+            scope,
             message: Message::Question {
                 waiting,
                 version: self.version,
                 rate: self.rate,
-                sent_after: self.nodes[node].choice.sent_after(self.now),
+                sent_after,
             },
         });
+        true
     }
 
-    fn choose(&mut self, node: usize) -> Option<usize> {
+    fn choose(&mut self, node: usize, scope: Scope) -> Option<usize> {
         let now = self.now;
-        let is_reachable = |other: &usize| (self.nodes[node].reachable >> other) & 1 == 1;
+        let ranked = match scope {
+            Scope::All => u8::MAX,
+            Scope::Zone => zone_of(node),
+        };
+        let reached = self.nodes[node].reachable & ranked;
         let reachable: Vec<&str> = (0..NODES)
-            .filter(is_reachable)
+            .filter(|other| (reached >> other) & 1 == 1)
             .map(|other| NAMES[other])
             .collect();
-        let choice = &mut self.nodes[node].choice;
+        let choice = self.nodes[node].choice(scope);
         let chosen = choice.choose(&reachable, now)?;
         NAMES.iter().position(|name| *name == chosen)
     }
 }
+
+/// The nodes of a node's zone.
+fn zone_of(node: usize) -> u8 {
+    let zone = ZONES.iter().find(|zone| (*zone >> node) & 1 == 1);
+    *zone.expect("each node has a zone")
+}
+
+fn place_of(node: usize, breakage: Breakage) -> ZonePlace {
+    let index = ZONES.iter().position(|zone| *zone == zone_of(node));
+    let count = match breakage {
+        Breakage::WholeSlack => 1,
+        _ => ZONES.len(),
+    };
+    ZonePlace {
+        index: index.expect("each node has a zone"),
+        count,
+    }
+}
--- a/crates/spurpier-pipeline/src/homes/mod.rs
+++ b/crates/spurpier-pipeline/src/homes/mod.rs
@@ -1,5 +1,6 @@
 //! The nodes as the store lists them, and which of them are the homes of each group.
 
+mod authorities;
 mod chosen;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -15,6 +16,7 @@
 pub use self::chosen::{ChosenNodes, Home, PeerNode};
 use self::chosen::{OwnPlace, Preference, peer_node};
 use crate::node_entry::{ListedNode, NodeEntry};
+use crate::quota::Scope;
 use crate::settings::PipelineSettings;
 
 #[derive(Debug, Default)]
@@ -25,8 +27,8 @@
     ranked: HashMap<String, (usize, Arc<ChosenNodes>)>,
     /// The nodes that follow the store.
     watchers: Option<Arc<ChosenNodes>>,
-    /// The nodes that count tenants' operations, by their seat, in their order.
-    authorities: HashMap<u8, Arc<Vec<PeerNode>>>,
+    /// The nodes that count tenants' operations, by whom they count for, in their order.
+    authorities: HashMap<Scope, Arc<Vec<PeerNode>>>,
     /// Nodes that were taken off the list although they did not leave, and when that was seen.
     taken_off: BTreeMap<String, (NodeEntry, Timestamp)>,
     /// Writes of this node's own entry that the list does not show to be over.
@@ -108,11 +110,6 @@
 
 /// What nodes are ranked for as watchers of the store.
 const WATCHED_SUBJECT: &str = "store";
-/// What nodes are ranked for as those that count operations, before the seat.
-const COUNTED_SUBJECT: &str = "quota";
-/// How many nodes are ranked for a seat: the second and third take the place of those that cannot
-/// be reached.
-const AUTHORITIES: usize = 3;
 /// How many nodes follow the store, if each zone has one; all do if they are no more.
 const WATCHERS: usize = 8;
 
@@ -305,24 +302,6 @@
         watchers
     }
 
-    /// The nodes that may count the operations of a seat's tenants, in the order in which all nodes
-    /// ask them; this node alone before any is known.
-    pub fn authorities(&self, seat: u8) -> Arc<Vec<PeerNode>> {
-        let mut inner = self.lock();
-        if let Some(authorities) = inner.authorities.get(&seat) {
-            return Arc::clone(authorities);
-        }
-        let Some(nodes) = &inner.nodes else {
-            return Arc::new(vec![peer_node(&self.own_name, &self.own)]);
-        };
-        let mut nodes = staying(nodes);
-        nodes.entry(&self.own_name).or_insert(&self.own);
-        let subject = format!("{COUNTED_SUBJECT}{seat}");
-        let authorities = Arc::new(OwnPlace::rank(&nodes, &subject, AUTHORITIES));
-        inner.authorities.insert(seat, Arc::clone(&authorities));
-        authorities
-    }
-
     /// The homes of a group in the order in which this node asks them for a tenant: first those in
     /// the region of a zone.
     pub fn ranked_for(&self, homes: &ChosenNodes, tenant: &str, zone: &str) -> Vec<Home> {
@@ -342,12 +321,6 @@
         near.count() + usize::from(homes.is_own && self.is_own_region(zone))
     }
 
-    /// How many nodes are listed; one before any is known.
-    pub fn listed_count(&self) -> usize {
-        let inner = self.lock();
-        inner.nodes.as_ref().map_or(1, |nodes| nodes.len().max(1))
-    }
-
     /// How far a zone is.
     pub fn distance(&self, zone: &str) -> Distance {
         self.place.distance(zone)
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -179,7 +179,7 @@
             retry_budget: Mutex::new(RetryBudget::new(RETRY_BUDGET, clock.now())),
             homes: Homes::new(&parts.settings),
             places: Places::new(&parts.settings),
-            quotas: Quotas::new(&parts.settings.bounds),
+            quotas: Quotas::new(&parts.settings),
             settings: parts.settings,
             clock,
             client_dialect: parts.client_dialect,
--- /dev/null
+++ b/crates/spurpier-pipeline/src/quota/asker.rs
@@ -0,0 +1,151 @@
+//! Asking the authority of one scope, which is a vote for it.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use spurpier_core::quota::{AuthorityChoice, LEAVE_LIFE, VOTE_LIFE, ZONE_VOTE_LIFE};
+use tokio::time::sleep;
+
+use super::waiting::{Granted, Wants};
+use super::{LeaveAnswer, LeaveQuestion, Scope};
+use crate::context::Context;
+use crate::forward::{Call, Outcome, Reply};
+use crate::homes::PeerNode;
+
+/// How often a node votes for the authority of its zone: twice within the life of a vote.
+const ZONE_VOTE_INTERVAL: Duration = Duration::from_millis(1_200);
+/// How often a question is asked whose authority knows no vote of this node yet: the first tells the
+/// node a moment of the authority's clock, and the second is a vote.
+const VOTE_TRIES: usize = 2;
+
+/// A node's way to the authority of a scope.
+#[derive(Debug)]
+pub struct Asker {
+    scope: Scope,
+    choice: Mutex<AuthorityChoice>,
+}
+
+/// How a question ended.
+enum Asked {
+    Answered(LeaveAnswer),
+    /// The authority is about to end and gives nothing more.
+    Left,
+    /// No answer came.
+    Lost,
+}
+
+impl Asker {
+    /// One that has asked nobody.
+    pub fn new(scope: Scope) -> Self {
+        let vote_life = match scope {
+            Scope::Seat(_) => VOTE_LIFE,
+            Scope::Zone => ZONE_VOTE_LIFE,
+        };
+        Asker {
+            scope,
+            choice: Mutex::new(AuthorityChoice::new(vote_life)),
+        }
+    }
+
+    /// Votes for the authority of the zone while tenants have quotas; never returns.
+    pub async fn vote(self: Arc<Self>, context: Arc<Context>) {
+        loop {
+            sleep(ZONE_VOTE_INTERVAL).await;
+            if self.is_vote_due(&context, ZONE_VOTE_INTERVAL) {
+                // A vote that is lost is followed by the next one within its life.
+                let _ = self.ask(&context, &Wants::new()).await;
+            }
+        }
+    }
+
+    /// Whether there are tenants to count and the authority was not asked for so long.
+    pub fn is_vote_due(&self, context: &Context, interval: Duration) -> bool {
+        let has_quotas = context.in_force().is_some_and(|known| known.has_quotas());
+        let asked_for = self.choice().asked_for(context.clock.now());
+        has_quotas && asked_for.is_none_or(|time| time >= interval)
+    }
+
+    /// Asks the authority; none if no answer comes.
+    pub async fn ask(&self, context: &Context, wants: &Wants) -> Option<Granted> {
+        let limit = context.clock.instant(context.clock.now() + LEAVE_LIFE);
+        context.homes.await_list(limit).await;
+        let ranked = context.homes.authorities(self.scope);
+        // An authority that is about to end says so, and the next one is asked at once.
+        for _ in 0..ranked.len() + VOTE_TRIES {
+            let authority = self.choose(context, &ranked)?;
+            let asked_at = context.clock.now();
+            let has_voted = self.choice().sent_after(asked_at).is_some();
+            match self.ask_one(context, &authority, wants).await {
+                Asked::Answered(answer) => {
+                    self.note_answer(context, &authority, &answer);
+                    if answer.has_majority || has_voted {
+                        return Some(Granted {
+                            scope: self.scope,
+                            answer,
+                            asked_at,
+                        });
+                    }
+                    // The next question is a vote, and may be the one that is missing.
+                }
+                Asked::Left => self.choice().note_left(&authority.name),
+                Asked::Lost => return None,
+            }
+        }
+        None
+    }
+
+    fn note_answer(&self, context: &Context, authority: &PeerNode, answer: &LeaveAnswer) {
+        let now = context.clock.now();
+        let mut choice = self.choice();
+        choice.note_answer(&authority.name, answer.has_majority, answer.stamp(), now);
+    }
+
+    fn choose(&self, context: &Context, ranked: &[PeerNode]) -> Option<PeerNode> {
+        let own = &context.settings.node.name;
+        let is_draining = context.draining.is_cancelled();
+        let is_reachable = |node: &&PeerNode| {
+            if node.name == *own {
+                !is_draining
+            } else {
+                context.links.is_usable(node.address)
+            }
+        };
+        let reachable: Vec<&PeerNode> = ranked.iter().filter(is_reachable).collect();
+        let names: Vec<&str> = reachable.iter().map(|node| node.name.as_str()).collect();
+        let now = context.clock.now();
+        let mut choice = self.choice();
+        let chosen = choice.choose(&names, now)?.to_owned();
+        choice.note_asked(now);
+        let chosen = reachable.into_iter().find(|node| node.name == chosen);
+        chosen.cloned()
+    }
+
+    async fn ask_one(&self, context: &Context, authority: &PeerNode, wants: &Wants) -> Asked {
+        let own = &context.settings.node.name;
+        let sent_after = self.choice().sent_after(context.clock.now());
+        let wants = wants.iter().map(|(tenant, want)| (&**tenant, *want));
+        let question = LeaveQuestion::new(self.scope, own, sent_after, wants);
+        context.metrics.count_leave_question();
+        if authority.name == *own {
+            return match super::answer_question(context, question) {
+                Some(answer) => Asked::Answered(answer),
+                None => Asked::Left,
+            };
+        }
+        let until = context.clock.now() + LEAVE_LIFE;
+        let links = &context.links;
+        let Some(link) = links.link(authority.address, &context.clock, until).await else {
+            return Asked::Lost;
+        };
+        let end = context.clock.instant(until);
+        match link.call_until(Call::Leaves(question), end, true).await {
+            Outcome::Replied(Reply::Leaves(answer)) => Asked::Answered(answer),
+            Outcome::Replied(Reply::NotTaken) => Asked::Left,
+            Outcome::Replied(_) | Outcome::NotSent | Outcome::Lost => Asked::Lost,
+        }
+    }
+
+    fn choice(&self) -> MutexGuard<'_, AuthorityChoice> {
+        self.choice.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/spurpier-pipeline/src/quota/messages.rs
+++ b/crates/spurpier-pipeline/src/quota/messages.rs
@@ -7,13 +7,14 @@
 use spurpier_core::time::Timestamp;
 use spurpier_core::wire::List;
 
+use super::Scope;
 use crate::forward::{duration, millis};
 
-/// A node's question to the authority of a seat, which is its vote as well.
+/// A node's question to an authority, which is its vote as well.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub struct LeaveQuestion {
-    /// The seat.
-    pub seat: u8,
+    /// For whom the authority counts.
+    pub scope: Scope,
     /// The name of the node that asks.
     pub voter: String,
     sent_after: Option<CalledStamp>,
@@ -57,7 +58,7 @@
 impl LeaveQuestion {
     /// A question for these tenants; without any it is a vote alone.
     pub fn new<'a>(
-        seat: u8,
+        scope: Scope,
         voter: &str,
         sent_after: Option<Stamp>,
         wants: impl Iterator<Item = (&'a str, Want)>,
@@ -70,7 +71,7 @@
             version: want.version,
         });
         LeaveQuestion {
-            seat,
+            scope,
             voter: voter.to_owned(),
             sent_after: sent_after.map(CalledStamp::from),
             wants: List(wants.collect()),
--- a/crates/spurpier-pipeline/src/quota/mod.rs
+++ b/crates/spurpier-pipeline/src/quota/mod.rs
@@ -1,26 +1,33 @@
 //! Leave to start operations of tenants whose rate is bounded.
 //!
 //! The decisions are [`spurpier_core::quota`]'s. Tenants are spread over a few seats; for each seat
-//! every node ranks the same nodes, and asks the first one that it reaches.
+//! every node ranks the same nodes, and asks the first one that it reaches. Where none of them
+//! answers for most nodes, the authority of the node's own zone is asked.
 
+mod asker;
 mod messages;
 mod seat;
+mod waiting;
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use nanoserde::{DeBin, SerBin};
 use rand::RngExt;
 use spurpier_core::homes::subject_digest;
-use spurpier_core::quota::{Authority, Grant, Leave, Ledger, QuotaBound, QuotaRate, Taken, Want};
+use spurpier_core::quota::{
+    Authority, Grant, Leave, Ledger, QuotaBound, QuotaRate, Taken, Want, ZoneAuthority, ZonePlace,
+};
 use spurpier_core::time::Timestamp;
 use tokio::sync::oneshot;
 
+use self::asker::Asker;
 pub use self::messages::{LeaveAnswer, LeaveQuestion};
 use self::seat::Seat;
 use crate::context::Context;
 use crate::ports::Quota;
-use crate::settings::BoundSettings;
+use crate::settings::PipelineSettings;
 
 /// Seats over which tenants are spread: as many nodes count operations. Each question of a node
 /// goes to one of them, so that of 59 nodes with 1,200 operations a second each of four answers 300
@@ -29,6 +36,15 @@
 /// What a client is told to wait when no authority can be asked.
 const UNREACHED_PAUSE: Duration = Duration::from_millis(300);
 
+/// Whom an authority counts for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, SerBin, DeBin)]
+pub enum Scope {
+    /// All nodes, for the tenants of a seat.
+    Seat(u8),
+    /// The nodes of its zone, for all tenants.
+    Zone,
+}
+
 /// Why an operation may not start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refused {
@@ -62,6 +78,9 @@
     ledger: Mutex<Ledger>,
     seats: Vec<Arc<Seat>>,
     authorities: Mutex<HashMap<u8, Authority>>,
+    /// Asks the authority of this node's zone; none where the zone has no part of its own.
+    zone_asker: Option<Arc<Asker>>,
+    zone_authority: Option<Mutex<ZoneAuthority>>,
     bound: QuotaBound,
     /// Tells this process's life from others of the node.
     life: u64,
@@ -69,17 +88,25 @@
 
 impl Quotas {
     /// No leaves, and nothing counted.
-    pub fn new(bounds: &BoundSettings) -> Self {
+    pub fn new(settings: &PipelineSettings) -> Self {
+        let bounds = &settings.bounds;
+        let bound = QuotaBound {
+            window: Duration::from_secs_f64(bounds.quota_window_s),
+            overage: bounds.quota_overage,
+            slack: bounds.quota_slack,
+        };
+        let life = rand::rng().random();
+        let zones = settings.zones.keys().map(String::as_str);
+        let place = ZonePlace::of(&settings.node.zone, zones);
+        let zone_authority = |place| Mutex::new(ZoneAuthority::new(bound, place, life));
         Quotas {
             ledger: Mutex::default(),
             seats: (0..SEATS).map(|index| Arc::new(Seat::new(index))).collect(),
             authorities: Mutex::default(),
-            life: rand::rng().random(),
-            bound: QuotaBound {
-                window: Duration::from_secs_f64(bounds.quota_window_s),
-                overage: bounds.quota_overage,
-                slack: bounds.quota_slack,
-            },
+            zone_asker: place.map(|_| Arc::new(Asker::new(Scope::Zone))),
+            zone_authority: place.map(zone_authority),
+            bound,
+            life,
         }
     }
 
@@ -92,23 +119,55 @@
         &self.seats[(digest % u64::from(SEATS)) as usize]
     }
 
-    /// Answers a node's question, when so many nodes are listed.
-    fn answer(&self, question: LeaveQuestion, nodes: usize, now: Timestamp) -> LeaveAnswer {
+    /// Answers a node's question, when so many nodes are listed that may ask; none if this node
+    /// does not count for the scope.
+    fn answer(&self, question: LeaveQuestion, nodes: usize, now: Timestamp) -> Option<LeaveAnswer> {
+        match question.scope {
+            Scope::Seat(seat) => Some(self.answer_seat(seat, question, nodes, now)),
+            Scope::Zone => self.answer_zone(question, nodes, now),
+        }
+    }
+
+    fn answer_seat(
+        &self,
+        seat: u8,
+        question: LeaveQuestion,
+        nodes: usize,
+        now: Timestamp,
+    ) -> LeaveAnswer {
         let authorities = self.authorities.lock();
         let mut authorities = authorities.unwrap_or_else(PoisonError::into_inner);
         let authority = authorities
-            .entry(question.seat)
+            .entry(seat)
             .or_insert_with(|| Authority::new(self.bound, self.life));
-        let sent_after = question.sent_after();
-        authority.note_vote(&question.voter, sent_after, nodes, now);
+        authority.note_vote(&question.voter, question.sent_after(), nodes, now);
         let mut grant = |tenant: &str, want: Want| {
             let spread = rand::rng().random();
-            authority.grant(tenant, want, nodes, spread, now)
+            authority.grant(tenant, want, spread, now)
         };
         let wants = question.into_wants();
         let grants: Vec<Grant> = wants.map(|(tenant, want)| grant(&tenant, want)).collect();
         LeaveAnswer::new(authority.has_majority(), authority.stamp(now), &grants)
     }
+
+    fn answer_zone(
+        &self,
+        question: LeaveQuestion,
+        nodes: usize,
+        now: Timestamp,
+    ) -> Option<LeaveAnswer> {
+        let authority = self.zone_authority.as_ref()?.lock();
+        let mut authority = authority.unwrap_or_else(PoisonError::into_inner);
+        authority.note_vote(&question.voter, question.sent_after(), nodes, now);
+        let mut grant = |tenant: &str, want: Want| {
+            let spread = rand::rng().random();
+            authority.grant(tenant, want.waiting, spread, now)
+        };
+        let wants = question.into_wants();
+        let grants: Vec<Grant> = wants.map(|(tenant, want)| grant(&tenant, want)).collect();
+        let answer = LeaveAnswer::new(authority.has_majority(), authority.stamp(now), &grants);
+        Some(answer)
+    }
 }
 
 /// The leave of an operation; given back if the operation has not run.
@@ -162,18 +221,21 @@
 }
 
 /// Answers another node's question; none if this node is about to end, so that votes for it are
-/// void.
+/// void, or does not count for the scope.
 pub fn answer_question(context: &Context, question: LeaveQuestion) -> Option<LeaveAnswer> {
     if context.draining.is_cancelled() {
         return None;
     }
-    let nodes = context.homes.listed_count();
-    let answer = context.quotas.answer(question, nodes, context.clock.now());
-    Some(answer)
+    let nodes = context.homes.voter_count(question.scope);
+    let quotas = &context.quotas;
+    quotas.answer(question, nodes, context.clock.now())
 }
 
-/// Starts asking the authorities of all seats for what clients wait for.
+/// Starts asking the authorities of all seats for what clients wait for, and voting in the zone.
 pub fn start_seats(context: &Arc<Context>) {
+    if let Some(asker) = &context.quotas.zone_asker {
+        tokio::spawn(Arc::clone(asker).vote(Arc::clone(context)));
+    }
     for seat in &context.quotas.seats {
         tokio::spawn(Arc::clone(seat).run(Arc::clone(context)));
     }
