--- a/crates/spurpier-core/tests/quota.rs
+++ b/crates/spurpier-core/tests/quota.rs
@@ -247,7 +247,7 @@
 /// authorities without a majority, 3 for the largest limit and none for the others.
 #[test]
 fn a_zone_that_is_cut_off_serves_its_part_of_the_slack() {
-    for limit in 0..RATES.len() {
+    for (limit, rate) in RATES.iter().enumerate() {
         let mut world = World::new(Breakage::None);
         world.apply(Step::Limit(limit));
         pass_seconds(&mut world, 10);
@@ -255,7 +255,7 @@
         cut_zone_off(&mut world);
         pass_seconds(&mut world, 8);
         let served = world.started_by(CUT_ZONE) - before;
-        assert!(served >= 18, "{served} with {:?}", RATES[limit]);
+        assert!(served >= 18, "{served} with {rate:?}");
         assert_eq!(world.broken_window(), None);
     }
 }
