Merge the part of the quotas' slack that zones use by themselves, and authorities in different regions

Joined with the cold servers' leaves, which have seats of the same kind but no slack that zones could divide: each seat asks the part that counts for its scope. The model of cold servers takes the interface of votes as it is now (no remainder for a minority: it gives nothing).

--- a/crates/spurpier-core/tests/cold_model/mod.rs
+++ b/crates/spurpier-core/tests/cold_model/mod.rs
@@ -5,7 +5,8 @@
 use proptest::prelude::*;
 use spurpier_core::places::{COLD_WINDOW, ColdBound, Coldness, is_entry_outdated};
 use spurpier_core::quota::{
-    Authority, AuthorityChoice, Bucket, Budget, Grant, Ledger, QuotaRate, Stamp, Taken, Want,
+    Authority, AuthorityChoice, Bucket, Budget, Grant, Ledger, QuotaRate, Stamp, Taken, VOTE_LIFE,
+    Want,
 };
 use spurpier_core::time::Timestamp;
 
@@ -342,7 +343,7 @@
         let authority = &mut node.authority;
         let stamp = authority.stamp(self.now);
         authority.note_vote(NAMES[letter.from], sent_after, listed, self.now);
-        let grant = authority.grant(SERVER, want, listed, 0.5, self.now);
+        let grant = authority.grant(SERVER, want, 0.5, self.now);
         let message = Message::Answer {
             grant,
             waiting,
@@ -404,7 +405,7 @@
             // Without messages, what is saved up comes off the rate and nothing else does.
             per_second: (per_second - 1.0).max(per_second / 2.0),
             capacity: 1.0,
-            remainder: 0.0,
+            set_aside: 0.0,
             window: COLD_WINDOW,
         };
         node.bucket.set_budget(budget, now);
@@ -509,7 +510,7 @@
     Node {
         ledger: Ledger::default(),
         authority: Authority::new(ColdBound::COUNTED, life),
-        choice: AuthorityChoice::default(),
+        choice: AuthorityChoice::new(VOTE_LIFE),
         bucket: Bucket::begun_at(Budget::of(rate, ColdBound::COUNTED), now),
         reachable: (1 << NODES) - 1,
         more_listed: 0,
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -188,7 +188,7 @@
             retry_budget: Mutex::new(RetryBudget::new(RETRY_BUDGET, clock.now())),
             homes: Homes::new(&parts.settings),
             places: Places::new(&parts.settings, &clock),
-            quotas: Quotas::new(bounds),
+            quotas: Quotas::new(&parts.settings),
             cold,
             settings: parts.settings,
             clock,
--- a/crates/spurpier-pipeline/src/quota/mod.rs
+++ b/crates/spurpier-pipeline/src/quota/mod.rs
@@ -1,29 +1,36 @@
 //! Leave to start operations of tenants whose rate is bounded.
 //!
 //! The decisions are [`spurpier_core::quota`]'s. Tenants are spread over a few seats; for each seat
-//! every node ranks the same nodes, and asks the first one that it reaches.
+//! every node ranks the same nodes, and asks the first one that it reaches. Where none of them
+//! answers for most nodes, the authority of the node's own zone is asked.
 
+mod asker;
 mod messages;
 mod seat;
+mod waiting;
 
 use std::collections::HashMap;
 use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use nanoserde::{DeBin, SerBin};
 use rand::RngExt;
 use spurpier_core::homes::subject_digest;
 use spurpier_core::places::ColdBound;
-use spurpier_core::quota::{Authority, Grant, Leave, Ledger, QuotaBound, QuotaRate, Taken, Want};
+use spurpier_core::quota::{
+    Authority, Grant, Leave, Ledger, QuotaBound, QuotaRate, Taken, Want, ZoneAuthority, ZonePlace,
+};
 use spurpier_core::time::Timestamp;
 use tokio::sync::oneshot;
 
+use self::asker::Asker;
 pub use self::messages::{LeaveAnswer, LeaveQuestion};
 use self::seat::Seat;
 use crate::clock::Clock;
 use crate::context::Context;
 use crate::ports::Quota;
-use crate::settings::BoundSettings;
+use crate::settings::PipelineSettings;
 
 /// Seats over which tenants are spread: as many nodes count operations. Each question of a node
 /// goes to one of them, so that of 59 nodes with 1,200 operations a second each of four answers 300
@@ -34,6 +41,15 @@
 /// What a client is told to wait when no authority can be asked.
 const UNREACHED_PAUSE: Duration = Duration::from_millis(300);
 
+/// Whom an authority counts for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, SerBin, DeBin)]
+pub enum Scope {
+    /// All nodes, for the tenants of a seat.
+    Seat(u8),
+    /// The nodes of its zone, for all tenants.
+    Zone,
+}
+
 /// Why an operation may not start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refused {
@@ -61,29 +77,48 @@
     }
 }
 
-/// The leaves of this node's clients, and what it counts for others.
+/// The leaves of this node's clients, and what it counts for others: the operations of tenants, or
+/// what is sent to cold servers, which stand in the place of tenants then.
 #[derive(Debug)]
 pub struct Quotas {
     ledger: Mutex<Ledger>,
     seats: Vec<Arc<Seat>>,
     authorities: Mutex<HashMap<u8, Authority>>,
+    /// The zone's own part, which is used while most nodes cannot be asked.
+    zone: Option<ZonePart>,
     bound: QuotaBound,
     /// Tells this process's life from others of the node.
     life: u64,
 }
 
+/// What a zone counts by itself.
+#[derive(Debug)]
+struct ZonePart {
+    asker: Arc<Asker>,
+    authority: Mutex<ZoneAuthority>,
+}
+
 impl Quotas {
-    /// No leaves, and nothing counted.
-    pub fn new(bounds: &BoundSettings) -> Self {
+    /// No leaves of tenants, and nothing counted.
+    pub fn new(settings: &PipelineSettings) -> Self {
+        let bounds = &settings.bounds;
         let bound = QuotaBound {
             window: Duration::from_secs_f64(bounds.quota_window_s),
             overage: bounds.quota_overage,
             slack: bounds.quota_slack,
         };
-        Self::of_seats(0..SEATS, bound)
+        let mut quotas = Self::of_seats(0..SEATS, bound);
+        let zones = settings.zones.keys().map(String::as_str);
+        let place = ZonePlace::of(&settings.node.zone, zones);
+        quotas.zone = place.map(|place| ZonePart {
+            asker: Arc::new(Asker::new(Scope::Zone)),
+            authority: Mutex::new(ZoneAuthority::new(bound, place, quotas.life)),
+        });
+        quotas
     }
 
-    /// As [`Quotas::new`], for what is sent to cold servers, which stand in the place of tenants.
+    /// As [`Quotas::new`], for what is sent to cold servers. Their bound has no slack that zones
+    /// could divide.
     pub fn of_cold_servers() -> Self {
         Self::of_seats(SEATS..SEATS + COLD_SEATS, ColdBound::COUNTED)
     }
@@ -93,26 +128,27 @@
             ledger: Mutex::default(),
             seats: seats.map(|index| Arc::new(Seat::new(index))).collect(),
             authorities: Mutex::default(),
-            life: rand::rng().random(),
+            zone: None,
             bound,
+            life: rand::rng().random(),
         }
     }
 
-    /// What counts the subjects of a seat.
-    fn of_seat(context: &Context, seat: u8) -> &Self {
-        if seat < SEATS {
-            &context.quotas
-        } else {
-            &context.cold.leaves
+    /// What counts for a scope.
+    fn of_scope(context: &Context, scope: Scope) -> &Self {
+        match scope {
+            Scope::Seat(seat) if seat >= SEATS => &context.cold.leaves,
+            Scope::Seat(_) | Scope::Zone => &context.quotas,
         }
     }
 
-    /// Whether there is anything to count in a seat.
-    fn is_used(context: &Context, seat: u8) -> bool {
-        if seat < SEATS {
-            context.in_force().is_some_and(|known| known.has_quotas())
-        } else {
-            context.cold.are_counted(context.clock.now())
+    /// Whether there is anything to count for a scope.
+    fn is_used(context: &Context, scope: Scope) -> bool {
+        match scope {
+            Scope::Seat(seat) if seat >= SEATS => context.cold.are_counted(context.clock.now()),
+            Scope::Seat(_) | Scope::Zone => {
+                context.in_force().is_some_and(|known| known.has_quotas())
+            }
         }
     }
 
@@ -153,23 +189,55 @@
         &self.seats[(digest % self.seats.len() as u64) as usize]
     }
 
-    /// Answers a node's question, when so many nodes are listed.
-    fn answer(&self, question: LeaveQuestion, nodes: usize, now: Timestamp) -> LeaveAnswer {
+    /// Answers a node's question, when so many nodes are listed that may ask; none if this node
+    /// does not count for the scope.
+    fn answer(&self, question: LeaveQuestion, nodes: usize, now: Timestamp) -> Option<LeaveAnswer> {
+        match question.scope {
+            Scope::Seat(seat) => Some(self.answer_seat(seat, question, nodes, now)),
+            Scope::Zone => self.answer_zone(question, nodes, now),
+        }
+    }
+
+    fn answer_seat(
+        &self,
+        seat: u8,
+        question: LeaveQuestion,
+        nodes: usize,
+        now: Timestamp,
+    ) -> LeaveAnswer {
         let authorities = self.authorities.lock();
         let mut authorities = authorities.unwrap_or_else(PoisonError::into_inner);
         let authority = authorities
-            .entry(question.seat)
+            .entry(seat)
             .or_insert_with(|| Authority::new(self.bound, self.life));
-        let sent_after = question.sent_after();
-        authority.note_vote(&question.voter, sent_after, nodes, now);
+        authority.note_vote(&question.voter, question.sent_after(), nodes, now);
         let mut grant = |tenant: &str, want: Want| {
             let spread = rand::rng().random();
-            authority.grant(tenant, want, nodes, spread, now)
+            authority.grant(tenant, want, spread, now)
         };
         let wants = question.into_wants();
         let grants: Vec<Grant> = wants.map(|(tenant, want)| grant(&tenant, want)).collect();
         LeaveAnswer::new(authority.has_majority(), authority.stamp(now), &grants)
     }
+
+    fn answer_zone(
+        &self,
+        question: LeaveQuestion,
+        nodes: usize,
+        now: Timestamp,
+    ) -> Option<LeaveAnswer> {
+        let authority = self.zone.as_ref()?.authority.lock();
+        let mut authority = authority.unwrap_or_else(PoisonError::into_inner);
+        authority.note_vote(&question.voter, question.sent_after(), nodes, now);
+        let mut grant = |tenant: &str, want: Want| {
+            let spread = rand::rng().random();
+            authority.grant(tenant, want.waiting, spread, now)
+        };
+        let wants = question.into_wants();
+        let grants: Vec<Grant> = wants.map(|(tenant, want)| grant(&tenant, want)).collect();
+        let answer = LeaveAnswer::new(authority.has_majority(), authority.stamp(now), &grants);
+        Some(answer)
+    }
 }
 
 /// The leave of an operation; given back if the operation has not run.
@@ -215,19 +283,21 @@
 }
 
 /// Answers another node's question; none if this node is about to end, so that votes for it are
-/// void.
+/// void, or does not count for the scope.
 pub fn answer_question(context: &Context, question: LeaveQuestion) -> Option<LeaveAnswer> {
     if context.draining.is_cancelled() {
         return None;
     }
-    let nodes = context.homes.listed_count();
-    let quotas = Quotas::of_seat(context, question.seat);
-    let answer = quotas.answer(question, nodes, context.clock.now());
-    Some(answer)
+    let nodes = context.homes.voter_count(question.scope);
+    let quotas = Quotas::of_scope(context, question.scope);
+    quotas.answer(question, nodes, context.clock.now())
 }
 
-/// Starts asking the authorities of all seats for what clients wait for.
+/// Starts asking the authorities of all seats for what clients wait for, and voting in the zone.
 pub fn start_seats(context: &Arc<Context>) {
+    if let Some(zone) = &context.quotas.zone {
+        tokio::spawn(Arc::clone(&zone.asker).vote(Arc::clone(context)));
+    }
     let cold_seats = &context.cold.leaves.seats;
     for seat in context.quotas.seats.iter().chain(cold_seats) {
         tokio::spawn(Arc::clone(seat).run(Arc::clone(context)));
