--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -43,14 +43,9 @@
 /// For how long a draining node still takes clients that the load balancer sends it.
 const ACCEPT_ON: Duration = Duration::from_millis(2_600);
 
-/// How many other nodes are told much of a table at the same time, at least. 1,400 routes are 69 KB
-/// for each, so that three take 0.17 s of a link of 10 Mbit/s, and nobody takes this node as silent.
-const LEAST_NEWS_TURNS: usize = 3;
-/// For each so many megabits a second of a wider link one more is told at the same time: twice what
-/// a narrow link takes, so that half of this node's link stays free. At a start of 300 nodes before
-/// 900 servers the last node knew them all 3 s after the first one, with three turns 11 s after (one
-/// start each, by the nodes' logs).
-const MBPS_A_NEWS_TURN: f64 = 20.0;
+/// How many other nodes are told much of a table at the same time. 1,400 routes are 69 KB for each,
+/// so that three take 0.17 s of a link of 10 Mbit/s, and nobody takes this node as silent.
+const NEWS_TURNS: usize = 3;
 /// Groups that other nodes want seen to and that were not looked at yet.
 const WANTED_CAPACITY: usize = 64;
 
@@ -180,7 +175,6 @@
     fn new(parts: NodeParts) -> (Self, Listeners, LostNodes) {
         let clock = Clock::new();
         let (links, lost) = Links::new();
-        let link_mbps = parts.settings.node.link_mbps;
         let context = Context {
             retry_budget: Mutex::new(RetryBudget::new(RETRY_BUDGET, clock.now())),
             homes: Homes::new(&parts.settings),
@@ -206,7 +200,7 @@
             holds_duty: AtomicBool::new(false),
             lease_wanted: Notify::new(),
             known_tables: KnownTables::new(),
-            news_turns: Arc::new(Semaphore::new(news_turns(link_mbps))),
+            news_turns: Arc::new(Semaphore::new(NEWS_TURNS)),
             metrics: Metrics::default(),
             log_budget: LogBudget::default(),
             forwarded: TaskTracker::new(),
@@ -217,12 +211,6 @@
     }
 }
 
-/// How many other nodes are told much of a table at the same time over a link of this width.
-fn news_turns(link_mbps: f64) -> usize {
-    let turns = link_mbps / MBPS_A_NEWS_TURN;
-    (turns as usize).clamp(LEAST_NEWS_TURNS, Semaphore::MAX_PERMITS)
-}
-
 fn start_tasks(context: &Arc<Context>, ready_listener: TcpListener) {
     let shared = || Arc::clone(context);
     tokio::spawn(context.clock.clone().watch_for_stalls());
