--- a/crates/spurpier-core/tests/cold.rs
+++ b/crates/spurpier-core/tests/cold.rs
@@ -6,35 +6,21 @@
 //! The table of the ways: `cargo test -p spurpier-core --test cold ways -- --nocapture`.
 
 mod cold_model;
+mod proof;
 
 use std::time::Duration;
 
 use cold_model::{BOUND, Breakage, NODES, RATES, Step, Way, World, steps};
+use proof::{cases, config};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestRunner};
+use proptest::test_runner::TestRunner;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use spurpier_core::places::{ColdBound, Coldness, is_entry_outdated};
 use spurpier_core::quota::{Grant, Ledger, Taken};
 use spurpier_core::time::Timestamp;
 
-const DEFAULT_SEED: u64 = 1;
 const DEFAULT_CASES: u64 = 300;
 
-fn number_from(variable: &str, default: u64) -> u64 {
-    let text = std::env::var(variable).ok();
-    text.map_or(default, |text| text.parse().expect("a number"))
-}
-
-fn config(cases: u64) -> Config {
-    Config {
-        cases: u32::try_from(cases).expect("few cases"),
-        rng_seed: RngSeed::Fixed(number_from("PROOF_SEED", DEFAULT_SEED)),
-        failure_persistence: None,
-        max_shrink_iters: 2_000,
-        ..Config::default()
-    }
-}
-
 /// Any step may follow any other.
 struct AnyStep;
 
@@ -76,7 +62,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(config(number_from("PROOF_CASES", DEFAULT_CASES)))]
+    #![proptest_config(config(cases(DEFAULT_CASES)))]
 
     #[test]
     fn no_second_holds_more_than_its_bound(sequential 1..60 => ColdServer);
--- a/crates/spurpier-core/tests/lease.rs
+++ b/crates/spurpier-core/tests/lease.rs
@@ -4,34 +4,20 @@
 //! Longer rounds by hand: `PROOF_SEED=7 PROOF_CASES=20000 cargo test -p spurpier-core --test lease`.
 
 mod lease_model;
+mod proof;
 
 use std::time::Duration;
 
 use lease_model::{Breakage, Step, World, steps};
+use proof::{cases, config};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestRunner};
+use proptest::test_runner::{Config, TestRunner};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use spurpier_core::lead::{LEASE, LEASE_MARGIN, ORDER_WINDOW, RoundState, YieldRound, holds_lease};
 use spurpier_core::time::Timestamp;
 
-const DEFAULT_SEED: u64 = 1;
 const DEFAULT_CASES: u64 = 400;
 
-fn number_from(variable: &str, default: u64) -> u64 {
-    let text = std::env::var(variable).ok();
-    text.map_or(default, |text| text.parse().expect("a number"))
-}
-
-fn config(cases: u64) -> Config {
-    Config {
-        cases: u32::try_from(cases).expect("few cases"),
-        rng_seed: RngSeed::Fixed(number_from("PROOF_SEED", DEFAULT_SEED)),
-        failure_persistence: None,
-        max_shrink_iters: 2_000,
-        ..Config::default()
-    }
-}
-
 /// Any step may follow any other; the world passes over those that cannot happen.
 struct AnyStep;
 
@@ -68,7 +54,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(config(number_from("PROOF_CASES", DEFAULT_CASES)))]
+    #![proptest_config(config(cases(DEFAULT_CASES)))]
 
     #[test]
     fn nobody_believes_a_replaced_primary(sequential 20..160 => Leases);
--- a/crates/spurpier-core/tests/quota.rs
+++ b/crates/spurpier-core/tests/quota.rs
@@ -4,12 +4,14 @@
 //!
 //! Longer rounds by hand: `PROOF_SEED=7 PROOF_CASES=20000 cargo test -p spurpier-core --test quota`.
 
+mod proof;
 mod quota_model;
 
 use std::time::Duration;
 
+use proof::{cases, config};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestRunner};
+use proptest::test_runner::TestRunner;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use quota_model::{BOUND, Breakage, NODES, RATES, Step, World, ZONES, steps};
 use spurpier_core::quota::{
@@ -18,24 +20,8 @@
 };
 use spurpier_core::time::Timestamp;
 
-const DEFAULT_SEED: u64 = 1;
 const DEFAULT_CASES: u64 = 300;
 
-fn number_from(variable: &str, default: u64) -> u64 {
-    let text = std::env::var(variable).ok();
-    text.map_or(default, |text| text.parse().expect("a number"))
-}
-
-fn config(cases: u64) -> Config {
-    Config {
-        cases: u32::try_from(cases).expect("few cases"),
-        rng_seed: RngSeed::Fixed(number_from("PROOF_SEED", DEFAULT_SEED)),
-        failure_persistence: None,
-        max_shrink_iters: 2_000,
-        ..Config::default()
-    }
-}
-
 /// Any step may follow any other.
 struct AnyStep;
 
@@ -75,7 +61,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(config(number_from("PROOF_CASES", DEFAULT_CASES)))]
+    #![proptest_config(config(cases(DEFAULT_CASES)))]
 
     #[test]
     fn no_window_holds_more_than_its_bound(sequential 1..60 => Quotas);
