--- a/crates/spurpier-pipeline/src/configuration/rows.rs
+++ b/crates/spurpier-pipeline/src/configuration/rows.rs
@@ -1,9 +1,9 @@
 //! The configuration as the rows by which nodes tell each other of it.
 //!
 //! The store keeps the configuration in one row, which changes whole, and one row for each zone that
-//! is evacuated. Among nodes it is one row a route, a tenant and an evacuated zone, and one for all else, so that only the routes that a change concerns travel: a change of
-//! two of 1,400 routes sent 263 KB before, and sends 187 bytes (counted at the sender's link in
-//! `large_configuration`).
+//! is evacuated. Among nodes it is one row a route, a tenant and an evacuated zone, and one for all
+//! else, so that only what a change concerns travels: a change of two of 1,400 routes sent 263 KB
+//! before, and sends 187 bytes (counted at the sender's link in `large_configuration`).
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/spurpier-pipeline/src/duty/mod.rs
+++ b/crates/spurpier-pipeline/src/duty/mod.rs
@@ -1,7 +1,9 @@
-//! Replacing a primary that is lost, leaves or stands in an evacuated zone: seeing it, agreeing on it, and ordering it.
+//! Replacing a primary that is lost, leaves, stands in an evacuated zone or where much of its work
+//! may not run: seeing it, agreeing on it, and ordering it.
 
 mod demand;
 mod evacuation;
+mod hand_over;
 mod holder;
 mod messages;
 mod peers;
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -14,9 +14,7 @@
 use super::holder::{Decision, KnownDuty, read_duty, store_decision};
 use super::peers::Peers;
 use super::round::{Round, yield_to};
-use super::successor::{
-    SteppedDown, find_heir, find_heir_in, find_successor, holds_all, order, resume, step_down,
-};
+use super::successor::{find_successor, holds_all, order, resume};
 use crate::context::Context;
 use crate::events;
 use crate::group::Group;
@@ -123,7 +121,7 @@
 /// One group that may need a new primary.
 pub(super) struct Case {
     pub(super) context: Arc<Context>,
-    peers: Arc<Peers>,
+    pub(super) peers: Arc<Peers>,
     pub(super) group: Arc<Group>,
     missing_since: Option<Timestamp>,
     /// The duty as it was read, and what is known of its holder since.
@@ -316,91 +314,15 @@
         round.clean_up().await;
     }
 
-    /// Hands a group over from a primary that serves, without losing a commit: it steps down, its
-    /// heir receives the rest, and is ordered to lead.
-    async fn hand_over(&mut self, duty: &KnownDuty, former: Arc<Server>, reason: MoveReason) {
-        let (context, group) = (Arc::clone(&self.context), Arc::clone(&self.group));
-        let Some(heir) = self.find_heir(&former, reason).await else {
-            tokio::time::sleep(UNDECIDED_PAUSE).await;
-            return;
-        };
-        if reason == MoveReason::Evacuated && !self.may_step_down(&former, &heir).await {
-            return;
-        }
-        let Some(decision) = self.decide(duty, &heir).await else {
-            return;
-        };
-        log_event!(
-            events::PRIMARY_MOVES,
-            group = group.name,
-            reason = reason.text(),
-            from = former.instance,
-            to = heir.instance
-        );
-        let peers = Arc::clone(&self.peers);
-        let mut round = Round::new(&context, &peers, &group, &decision);
-        let stepped_down = step_down(&context, &group, &former, &heir).await;
-        if stepped_down != SteppedDown::Unknown {
-            round.note_stepped_down();
-        }
-        self.note_stepped_down(stepped_down, &former, decision.succession.token);
-        // The server of a primary that leaves ends: a successor that is too far behind takes over all
-        // the same, since the group must serve. One that stays can lead again.
-        let may_lose = reason == MoveReason::Leaving && group.synchronous_replicas() == 0;
-        let may_order = may_lose || matches!(stepped_down, SteppedDown::HeirHasAll(_));
-        if may_order && let Some(ordering) = round.await_order().await {
-            let answer = order(&context, &group, &heir, decision.token()).await;
-            drop(ordering);
-            self.note_ordered(&answer, Some(&former)).await;
-        }
-        round.clean_up().await;
-        if !may_order && reason == MoveReason::Demand {
-            self.give_back(&former, stepped_down).await;
-        }
-    }
-
-    async fn find_heir(&self, former: &Arc<Server>, reason: MoveReason) -> Option<Arc<Server>> {
-        let (context, group) = (&self.context, &self.group);
-        match reason {
-            MoveReason::Leaving | MoveReason::Evacuated => find_heir(context, group, former).await,
-            MoveReason::Demand => {
-                let now = context.clock.now();
-                let region = context.places.demand.wish(&group.name, now)?;
-                find_heir_in(context, group, former, &region).await
-            }
-        }
-    }
-
-    /// Lets a primary that was told to step down lead again, since its heir lacks something: it
-    /// holds all that was acknowledged. If that fails, the group is seen to as one without a
-    /// primary.
-    async fn give_back(&mut self, former: &Arc<Server>, stepped_down: SteppedDown) {
-        let (context, group) = (Arc::clone(&self.context), Arc::clone(&self.group));
-        let Some(duty) = read_duty(&context).await else {
-            return;
-        };
-        let Some(decision) = self.decide(&duty.holder, former).await else {
-            return;
-        };
-        let peers = Arc::clone(&self.peers);
-        let mut round = Round::new(&context, &peers, &group, &decision);
-        if matches!(stepped_down, SteppedDown::HeirLacks(_)) {
-            // No server leads, and the heir was not ordered to.
-            round.note_stepped_down();
-        }
-        if let Some(ordering) = round.await_order().await {
-            let answer = order(&context, &group, former, decision.token()).await;
-            drop(ordering);
-            self.note_ordered(&answer, None).await;
-        }
-        round.clean_up().await;
-    }
-
     /// Stores the decision that a server takes over; from then on this node uses no other.
     ///
     /// Only a node that is registered for the group decides, and it stays registered while its case
     /// is open: a newer decision waits for it, and so for its order.
-    async fn decide(&mut self, duty: &KnownDuty, successor: &Server) -> Option<Decision> {
+    pub(super) async fn decide(
+        &mut self,
+        duty: &KnownDuty,
+        successor: &Server,
+    ) -> Option<Decision> {
         if !self.context.holds_lease(&self.group) {
             return None;
         }
@@ -414,7 +336,7 @@
         Some(decision)
     }
 
-    async fn note_ordered(
+    pub(super) async fn note_ordered(
         &mut self,
         answer: &Result<PromotionAnswer, StoreError>,
         former: Option<&Server>,
