Let evacuations be known before the zone closes, in place of within half of their bound

The wait matters only if an answer is lost, since a change ends it; then the zone closes when the row is known, 3.5 s after it at the latest. Ruled out: waiting as long as for a configuration, 4.8 s, which is past the closing. Tests of evacuations and watchers pass.

--- a/crates/spurpier-pipeline/src/follow/patience.rs
+++ b/crates/spurpier-pipeline/src/follow/patience.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use spurpier_core::places::{HELD_BACK, WAY_MARGIN};
+
 use crate::ports::Table;
 use crate::settings::BoundSettings;
 
@@ -35,14 +37,17 @@
 impl Patience {
     /// The limits of a table: a configuration is known within four fifths of the time within which
     /// it must be in force. Evacuations stand beside it: where a bound was agreed for them, they are
-    /// known within half of it, so that a primary can be replaced in the rest. Elsewhere that would
-    /// cost a watcher more than twice the calls for nothing (worked out from waits of 1.9 and 4.2 s).
+    /// known before the evacuated zone is closed, also if an answer is lost. A change that is told
+    /// ends the wait at once, so that a longer one takes nothing from the replacement of primaries.
+    /// Known within half of a bound of 5 s, all nodes made 3,249 calls to the store on a day with
+    /// lost history; known within 3.5 s they made 2,639 (one play each, 87 nodes).
     pub fn of(table: Table, bounds: &BoundSettings) -> Self {
         let known_within = match table {
             Table::Configuration => {
                 let applied = Duration::from_millis(bounds.configuration_apply_ms) * 4 / 5;
                 let evacuated = bounds.agreed_evacuation_bound();
-                evacuated.map_or(applied, |bound| applied.min(bound / 2))
+                let closed = evacuated.map(|bound| bound.saturating_sub(HELD_BACK + WAY_MARGIN));
+                closed.map_or(applied, |closed| applied.min(closed))
             }
             Table::Servers | Table::Cluster | Table::Duty => ALWAYS_KNOWN,
         };
