Spread the store's tables by what one node bears, not by the fleet's size

There is a watcher for 32 nodes, each follower has its own order, and turns are kept by table. - Servers travelled as the store has them. Watchers read them once and tell a short form. - Each starting node read the whole list of nodes from the store. It asks a node that the settings name which watchers to follow; what must read the list at the first start asks for all changes at once, over all shards. - The entry of the duty's holder named all groups, 12 bytes each, in a row of 64 KB at most.

Measured together: the parts hang on each other (with 17 shards a whole read is 17 calls, so that starts must not read).

--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -19,9 +19,10 @@
 use crate::forward::Links;
 use crate::group::Group;
 use crate::homes::{ChosenNodes, Homes};
-use crate::known_tables::KnownTables;
+use crate::known_tables::{FOLLOWED, KnownTables};
 use crate::log_budget::LogBudget;
 use crate::metrics::Metrics;
+use crate::node_entry::LeaseScope;
 use crate::places::{ColdServers, Places};
 use crate::ports::{
     ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
@@ -114,8 +115,9 @@
     pub retry_budget: Mutex<RetryBudget>,
     /// The store's tables as last seen.
     pub known_tables: KnownTables,
-    /// Turns to tell another node much of a table.
-    pub news_turns: Arc<Semaphore>,
+    /// Turns to tell another node much of a table, by the tables' numbers: what is told of one keeps
+    /// no other waiting.
+    pub news_turns: [Arc<Semaphore>; FOLLOWED.len()],
     /// What is counted and told at the metrics endpoint.
     pub metrics: Metrics,
     /// Bounds the log lines of single requests.
@@ -222,13 +224,12 @@
 
     /// The groups whose primary this node has a use for: those that it is a home of, stands in for
     /// or is to see to, and all of them while it holds the promotion duty.
-    pub fn wanted_leases(&self) -> BTreeSet<String> {
-        let groups = if self.holds_duty.load(Ordering::Relaxed) {
-            self.all_groups()
-        } else {
-            self.groups_in_use()
-        };
-        groups.iter().map(|group| group.name.clone()).collect()
+    pub fn wanted_leases(&self) -> LeaseScope {
+        let groups = self.groups_in_use();
+        LeaseScope {
+            groups: groups.iter().map(|group| group.name.clone()).collect(),
+            is_all: self.holds_duty.load(Ordering::Relaxed),
+        }
     }
 
     /// Whether a server may be used as its group's lead, and what it answers be believed: no other
--- a/crates/spurpier-pipeline/src/directory.rs
+++ b/crates/spurpier-pipeline/src/directory.rs
@@ -15,6 +15,7 @@
 use crate::places::ColdGate;
 use crate::ports::{Row, ServerEntry, UnusableEntry};
 use crate::server::{Listing, Pool, Server, Target};
+use crate::server_rows;
 
 /// The servers that the store lists, and the groups' servers kept in step with them.
 ///
@@ -56,15 +57,10 @@
         })
     }
 
-    fn read<'a>(&self, row: &'a Row) -> ReadRow<'a> {
-        let read = (!row.gone).then(|| self.context.entries.server(row));
-        ReadRow { row, read }
-    }
-
     /// Takes in the whole table as of a version.
     fn take_all(&self, rows: &[Row], version: u64) {
         let mut state = self.lock();
-        let mut read: Vec<ReadRow<'_>> = rows.iter().map(|row| self.read(row)).collect();
+        let mut read: Vec<ReadRow<'_>> = rows.iter().map(ReadRow::new).collect();
         let started = starts_told(read.iter().filter_map(|read| read.read.as_ref()));
         require_starts(&mut read, started);
         let (roster_rows, mut entries) = self.note_read(&mut state, read);
@@ -85,7 +81,7 @@
     /// Takes in rows that have changed or are gone.
     fn take_changes(&self, rows: &[Row]) {
         let mut state = self.lock();
-        let mut read: Vec<ReadRow<'_>> = rows.iter().map(|row| self.read(row)).collect();
+        let mut read: Vec<ReadRow<'_>> = rows.iter().map(ReadRow::new).collect();
         if read.iter().any(ReadRow::lacks_start) {
             require_starts(&mut read, state.roster.count_starts());
         }
@@ -350,7 +346,12 @@
     Summary,
 }
 
-impl ReadRow<'_> {
+impl<'a> ReadRow<'a> {
+    fn new(row: &'a Row) -> Self {
+        let read = (!row.gone).then(|| server_rows::read(row));
+        ReadRow { row, read }
+    }
+
     fn lacks_start(&self) -> bool {
         let entry = self.read.as_ref().and_then(|read| read.as_ref().ok());
         entry.is_some_and(|entry| entry.incarnation.started_ms().is_none())
@@ -390,6 +391,13 @@
 pub struct ServerSink(pub Arc<Directory>);
 
 impl RowSink for ServerSink {
+    fn told_form(&self, rows: Vec<Row>) -> Vec<Row> {
+        let entries = &self.0.context.entries;
+        let told = rows.into_iter();
+        told.map(|row| server_rows::told_form(entries.as_ref(), row))
+            .collect()
+    }
+
     fn replace(&mut self, rows: &[Row], version: u64) {
         self.0.take_all(rows, version);
         self.0.context.directory_known.send_replace(true);
--- a/crates/spurpier-pipeline/src/duty/holder.rs
+++ b/crates/spurpier-pipeline/src/duty/holder.rs
@@ -14,7 +14,9 @@
 use crate::events;
 use crate::group::Group;
 use crate::membership::succession_key;
-use crate::ports::{Condition, FencingToken, Row, Table, TransactOutcome, Transaction, Write};
+use crate::ports::{
+    Condition, FencingToken, Row, Shard, Table, TransactOutcome, Transaction, Write,
+};
 use crate::progress::Progress;
 
 /// The key of the row of the duty's holder.
@@ -219,6 +221,10 @@
     conditions: Vec<Condition>,
     writes: Vec<Write>,
 ) -> Option<TransactOutcome> {
-    let call = context.store.transact(Transaction { conditions, writes });
+    let call = context.store.transact(Transaction {
+        conditions,
+        writes,
+        shard: Shard::Duty,
+    });
     timeout(CALL_LIMIT, call).await.ok()?.ok()
 }
--- a/crates/spurpier-pipeline/src/follow/mod.rs
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -55,6 +55,11 @@
     /// Takes in rows that have changed or are gone, in the order of their changes.
     fn change(&mut self, rows: &[Row]);
 
+    /// The store's rows as nodes tell them to each other: with the same keys and versions.
+    fn told_form(&self, rows: Vec<Row>) -> Vec<Row> {
+        rows
+    }
+
     /// All rows under which nodes tell each other of the table, after the store has `told` of its
     /// rows: of all of them if `is_whole`, else of those that have changed. None if nothing has, or if
     /// the store's rows are those of the nodes.
@@ -88,6 +93,7 @@
         told_at: Timestamp::ZERO,
         store_clock: StoreClock::default(),
         passed_over: HashMap::new(),
+        is_new: true,
     };
     follower.await_others().await;
     loop {
@@ -134,6 +140,8 @@
     told_at: Timestamp,
     store_clock: StoreClock,
     passed_over: HashMap<String, Timestamp>,
+    /// Whether nothing has been asked for yet.
+    is_new: bool,
 }
 
 impl<S: RowSink> Follower<S> {
@@ -156,7 +164,12 @@
 
     /// One call, at the node or the store that is followed.
     async fn step(&mut self) {
-        for peer in self.peers() {
+        let is_new = std::mem::take(&mut self.is_new);
+        let mut peers = self.peers();
+        if is_new && self.table == Table::Cluster {
+            peers = self.watchers_at_start().await;
+        }
+        for peer in peers {
             if self.ask_peer(&peer).await {
                 return;
             }
@@ -165,10 +178,17 @@
         }
         match self.version {
             Some(version) => self.ask_changes(version).await,
+            // The store remembers all changes since the whole system has started: one call tells
+            // of all shards.
+            None if is_new && self.is_told_from_start() => self.ask_changes(0).await,
             None => self.read().await,
         }
     }
 
+    fn is_told_from_start(&self) -> bool {
+        self.table == Table::Cluster && self.context.settings.node.first_start
+    }
+
     /// The nodes to ask before the store; none if the store is to be asked.
     fn peers(&mut self) -> Vec<PeerNode> {
         let now = self.context.clock.now();
@@ -223,6 +243,7 @@
 
     fn take_changes(&mut self, rows: &[Row], version: u64, told_at: Timestamp) {
         self.note_absence(told_at);
+        self.knows_rows = true;
         let known = &self.context.known_tables;
         known.change(self.table, rows, version, told_at);
         if !rows.is_empty() {
@@ -263,7 +284,8 @@
             Some(Ok(read)) => {
                 self.note_answer();
                 let told_at = self.moment_of(&read, asked_at);
-                let rows = self.sink.whole_table(&read.rows, true).unwrap_or(read.rows);
+                let rows = self.sink.told_form(read.rows);
+                let rows = self.sink.whole_table(&rows, true).unwrap_or(rows);
                 self.take_all(&rows, read.version, told_at);
                 return;
             }
@@ -294,11 +316,12 @@
             Some(Ok(changes)) => {
                 self.note_answer();
                 let told_at = self.moment_of(&changes, asked_at);
-                match self.sink.whole_table(&changes.rows, false) {
+                let rows = self.sink.told_form(changes.rows);
+                match self.sink.whole_table(&rows, false) {
                     Some(rows) => self.take_all(&rows, changes.version, told_at),
-                    None => self.take_changes(&changes.rows, changes.version, told_at),
+                    None => self.take_changes(&rows, changes.version, told_at),
                 }
-                if self.table == Table::Cluster && changes.rows.iter().any(is_node_row) {
+                if self.table == Table::Cluster && rows.iter().any(is_node_row) {
                     tokio::time::sleep(NODES_PAUSE).await;
                 }
             }
--- a/crates/spurpier-pipeline/src/follow/peer.rs
+++ b/crates/spurpier-pipeline/src/follow/peer.rs
@@ -3,12 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
 use spurpier_core::time::Timestamp;
+use spurpier_core::wire::LongText;
 use spurpier_events::log_event;
 
 use super::{Follower, RowSink, TakenNews};
 use crate::events;
-use crate::forward::{Call, Link, Outcome, Reply};
+use crate::forward::{Call, Link, Outcome, Reply, ToldNode, ToldWatchers, millis};
 use crate::homes::PeerNode;
 use crate::known_tables::{News, table_number};
 
@@ -22,6 +24,14 @@
 /// How long a seed may take to answer.
 const SEED_LIMIT: Duration = Duration::from_millis(600);
 
+fn told_peer(told: ToldNode) -> PeerNode {
+    PeerNode {
+        name: told.name,
+        address: told.address,
+        zone: told.zone,
+    }
+}
+
 /// Why asking another node for a table was of no use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Missed {
@@ -145,23 +155,62 @@
         let end = clock.instant(clock.now() + limit);
         match link.call_while_moving(call, end).await {
             Outcome::Replied(Reply::News(news)) => Ok(news),
-            Outcome::Replied(Reply::NotTaken | Reply::Answered(_) | Reply::Leaves(_)) => {
-                Err(Missed::NotTaken)
-            }
+            Outcome::Replied(
+                Reply::NotTaken | Reply::Answered(_) | Reply::Leaves(_) | Reply::Watchers(_),
+            ) => Err(Missed::NotTaken),
             Outcome::NotSent | Outcome::Lost => Err(Missed::Unanswered),
         }
     }
 
-    /// Takes the table from a seed, at a start at which the store does not answer.
-    pub(super) async fn ask_seeds(&mut self) {
+    /// The nodes that a starting node asks for the list of nodes, so that not all of a fleet read all
+    /// of it from the store; none if this one is to read it.
+    pub(super) async fn watchers_at_start(&self) -> Vec<PeerNode> {
         let settings = &self.context.settings;
-        let seeds: Vec<SocketAddr> = settings
-            .seeds
-            .iter()
-            .filter(|seed| **seed != settings.listen.control)
-            .copied()
-            .collect();
+        if settings.seeds.contains(&settings.listen.control) {
+            return Vec::new();
+        }
+        let mut seeds = self.other_seeds();
+        seeds.shuffle(&mut rand::rng());
         for seed in seeds {
+            if let Some(told) = self.watchers_of_seed(seed).await {
+                return if told.is_caller {
+                    Vec::new()
+                } else {
+                    told.nodes.0.into_iter().map(told_peer).collect()
+                };
+            }
+        }
+        Vec::new()
+    }
+
+    async fn watchers_of_seed(&self, seed: SocketAddr) -> Option<ToldWatchers> {
+        let node = &self.context.settings.node;
+        let link = Link::connect(seed).await?;
+        let call = Call::Watchers {
+            name: LongText(node.name.clone()),
+            zone: LongText(node.zone.clone()),
+            wait_ms: millis(FIRST_NEWS_WAIT),
+        };
+        let clock = &self.context.clock;
+        let end = clock.instant(clock.now() + SEED_LIMIT);
+        let outcome = link.call_while_moving(call, end).await;
+        link.close();
+        match outcome {
+            Outcome::Replied(Reply::Watchers(told)) => Some(told),
+            _ => None,
+        }
+    }
+
+    fn other_seeds(&self) -> Vec<SocketAddr> {
+        let settings = &self.context.settings;
+        let seeds = settings.seeds.iter();
+        let others = seeds.filter(|seed| **seed != settings.listen.control);
+        others.copied().collect()
+    }
+
+    /// Takes the table from a seed, at a start at which the store does not answer.
+    pub(super) async fn ask_seeds(&mut self) {
+        for seed in self.other_seeds() {
             if self.ask_seed(seed).await {
                 return;
             }
--- a/crates/spurpier-pipeline/src/forward/caller.rs
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -165,6 +165,7 @@
         Outcome::Replied(Reply::Answered(answer)) => UnitOutcome::Answered(answer),
         Outcome::Replied(Reply::NotTaken) | Outcome::NotSent => UnitOutcome::NotStarted,
         // A reply that is none for a unit says nothing of it.
-        Outcome::Replied(Reply::News(_) | Reply::Leaves(_)) | Outcome::Lost => UnitOutcome::Lost,
+        Outcome::Replied(Reply::News(_) | Reply::Leaves(_) | Reply::Watchers(_))
+        | Outcome::Lost => UnitOutcome::Lost,
     }
 }
--- a/crates/spurpier-pipeline/src/forward/messages.rs
+++ b/crates/spurpier-pipeline/src/forward/messages.rs
@@ -4,13 +4,17 @@
 //! The other one runs them and replies, in any order. Times are told as lengths, never as moments,
 //! since nodes share no clock.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use nanoserde::{DeBin, DeBinErr, SerBin};
 use spurpier_core::position::Position;
-use spurpier_core::wire::{List, LongText, decode_bytes, encode_bytes};
+use spurpier_core::wire::{
+    List, LongText, decode_address, decode_bytes, decode_text, encode_address, encode_bytes,
+    encode_text,
+};
 
 use crate::known_tables::News;
 use crate::ports::{
@@ -22,7 +26,7 @@
 use crate::unit::{PreparedUse, Work};
 
 /// The version of the messages; nodes of different versions do not forward to each other.
-pub const VERSION: u16 = 6;
+pub const VERSION: u16 = 7;
 
 /// A message between a caller and the node that runs its calls.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
@@ -98,6 +102,15 @@
     },
     /// Asks for leave to start operations of tenants.
     Leaves(LeaveQuestion),
+    /// Asks a node whose address the settings name which nodes to follow.
+    Watchers {
+        /// The caller's name.
+        name: LongText,
+        /// The caller's zone.
+        zone: LongText,
+        /// For how long the runner waits until it knows, in milliseconds.
+        wait_ms: u32,
+    },
     /// Asks what the runner knows of a table of the store.
     Follow {
         /// The table's number.
@@ -215,6 +228,46 @@
     News(News),
     /// How many operations may start.
     Leaves(LeaveAnswer),
+    /// Which nodes to follow.
+    Watchers(ToldWatchers),
+}
+
+/// The nodes that a starting node is to follow.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct ToldWatchers {
+    /// Whether it is to follow the store itself.
+    pub is_caller: bool,
+    /// Some of the others, those to ask first before.
+    pub nodes: List<ToldNode>,
+}
+
+/// A node as a message names it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ToldNode {
+    /// Its name.
+    pub name: String,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+}
+
+impl SerBin for ToldNode {
+    fn ser_bin(&self, output: &mut Vec<u8>) {
+        encode_text(&self.name, output);
+        encode_address(self.address, output);
+        encode_text(&self.zone, output);
+    }
+}
+
+impl DeBin for ToldNode {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Self, DeBinErr> {
+        Ok(ToldNode {
+            name: decode_text(offset, bytes)?.to_owned(),
+            address: decode_address(offset, bytes)?,
+            zone: decode_text(offset, bytes)?.to_owned(),
+        })
+    }
 }
 
 /// [`Answer`] as a message carries it, and what it commits.
--- a/crates/spurpier-pipeline/src/forward/mod.rs
+++ b/crates/spurpier-pipeline/src/forward/mod.rs
@@ -18,6 +18,8 @@
 pub use caller::run_single;
 pub use link::{Link, Outcome};
 pub use links::{Links, LostNodes};
-pub use messages::{Call, CalledAnswer, CalledFreshness, Reply, duration, millis};
+pub use messages::{
+    Call, CalledAnswer, CalledFreshness, Reply, ToldNode, ToldWatchers, duration, millis,
+};
 pub use server::serve;
 pub use transaction::PlacedTransaction;
--- a/crates/spurpier-pipeline/src/forward/server.rs
+++ b/crates/spurpier-pipeline/src/forward/server.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
@@ -202,6 +202,14 @@
             Call::Leaves(question) => {
                 answer_question(&self.context, question).map_or(Reply::NotTaken, Reply::Leaves)
             }
+            Call::Watchers {
+                name,
+                zone,
+                wait_ms,
+            } => {
+                self.tell_watchers(&name.0, &zone.0, duration(wait_ms))
+                    .await
+            }
             Call::Follow {
                 table,
                 version,
@@ -210,6 +218,17 @@
         }
     }
 
+    /// Tells a starting node which nodes to follow, once this one has read the list of nodes.
+    async fn tell_watchers(&self, name: &str, zone: &str, wait: Duration) -> Reply {
+        let homes = &self.context.homes;
+        homes
+            .await_list(Instant::now() + wait.min(LONGEST_NEWS_WAIT))
+            .await;
+        homes
+            .watchers_for(name, zone)
+            .map_or(Reply::NotTaken, Reply::Watchers)
+    }
+
     /// Waits until there is something new of a table, and tells it; at the end of the wait only
     /// how old what is known has become.
     ///
@@ -237,7 +256,10 @@
         let news = || known.news(table, version, called_at, self.context.clock.now());
         let mut told = news();
         if told.as_ref().is_some_and(News::is_large) {
-            let Ok(turn) = Arc::clone(&self.context.news_turns).acquire_owned().await else {
+            let Some(turns) = self.context.news_turns.get(usize::from(table)) else {
+                return Reply::NotTaken;
+            };
+            let Ok(turn) = Arc::clone(turns).acquire_owned().await else {
                 return Reply::NotTaken;
             };
             // What has changed since, and how old it is now.
--- a/crates/spurpier-pipeline/src/homes/chosen.rs
+++ b/crates/spurpier-pipeline/src/homes/chosen.rs
@@ -156,6 +156,16 @@
         }
     }
 
+    /// Puts nodes at the same distance in this node's own order, so that those of a zone do not all
+    /// ask the same one first.
+    pub fn spread(&self, nodes: &mut [PeerNode]) {
+        let own = subject_digest(&self.name);
+        nodes.sort_by_cached_key(|node| {
+            let rank = rendezvous_score(own, NodeKey(subject_digest(&node.name)));
+            (self.distance(&node.zone), Reverse(rank))
+        });
+    }
+
     /// So many nodes for a subject: the first-ranked one, those with wide links first, and others
     /// that stand apart from it and from each other.
     pub fn rank_apart(
--- a/crates/spurpier-pipeline/src/homes/mod.rs
+++ b/crates/spurpier-pipeline/src/homes/mod.rs
@@ -4,20 +4,25 @@
 mod chosen;
 mod fleet;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use spurpier_core::homes::{rendezvous_score, subject_digest};
 use spurpier_core::lead::{Distance, LEASE, LEASE_MARGIN};
+use spurpier_core::membership::NodeKey;
 use spurpier_core::time::Timestamp;
+use spurpier_core::wire::List;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
 pub use self::chosen::{ChosenNodes, Home, PeerNode};
 use self::chosen::{OwnPlace, peer_node};
 use self::fleet::Fleet;
-use crate::node_entry::{ListedNode, NodeEntry};
+use crate::forward::{ToldNode, ToldWatchers};
+use crate::node_entry::{LeaseScope, ListedNode, NodeEntry};
 use crate::quota::Scope;
 use crate::settings::PipelineSettings;
 
@@ -46,8 +51,8 @@
 struct OwnWrite {
     /// The version of the row that it replaces; 0 if there was none.
     replaced: u64,
-    /// The groups that it names.
-    groups: BTreeSet<String>,
+    /// The groups that it tells of.
+    leases: LeaseScope,
 }
 
 impl Inner {
@@ -128,7 +133,7 @@
         let taken_off = self.taken_off.iter();
         let taken_off = taken_off.filter(move |(_, (_, since))| now.since(*since) < LEASES_END);
         let taken_off = taken_off.map(|(name, (entry, _))| (name, entry));
-        let holds = move |entry: &NodeEntry| entry.lease_groups.contains(group);
+        let holds = move |entry: &NodeEntry| entry.leases.contains(group);
         listed
             .chain(taken_off)
             .filter(move |(_, entry)| holds(entry))
@@ -153,14 +158,22 @@
 
 /// What nodes are ranked for as watchers of the store.
 const WATCHED_SUBJECT: &str = "store";
-/// How many nodes follow the store, if each zone has one; all do if they are no more.
+/// How many nodes follow the store at least, if each zone has one; all do if they are no more.
 const WATCHERS: usize = 8;
+/// How many nodes follow one watcher, about: 200 KB of servers told to each of them take 2.6 s of a
+/// link of 20 Mbit/s, and what a watcher asks of the store is paid once for all of them.
+const FOLLOWERS: usize = 32;
+
+/// How many watchers a starting node is told of: what each of 6,100 nodes is told by one of three
+/// then takes a second of a link of 20 Mbit/s.
+const TOLD_WATCHERS: usize = 8;
 
 fn watchers_per_zone(nodes: usize, zones: usize) -> usize {
     if nodes <= WATCHERS {
         return nodes.max(1);
     }
-    (WATCHERS / zones.max(1)).max(1)
+    let zones = zones.max(1);
+    (WATCHERS / zones).max(nodes.div_ceil(zones * FOLLOWERS))
 }
 
 impl Homes {
@@ -244,9 +257,9 @@
     /// Takes in that this node is about to write its entry with these groups, in the place of the
     /// row of a version: until the list shows that the write is over, this node uses the primary
     /// of no other group.
-    pub fn note_own_write(&self, replaced: u64, groups: &BTreeSet<String>) {
-        let groups = groups.clone();
-        let write = OwnWrite { replaced, groups };
+    pub fn note_own_write(&self, replaced: u64, leases: &LeaseScope) {
+        let leases = leases.clone();
+        let write = OwnWrite { replaced, leases };
         let mut inner = self.lock();
         if !inner.own_writes.contains(&write) {
             inner.own_writes.push(write);
@@ -255,10 +268,10 @@
 
     /// Whether a write of this node's entry that may still be carried out lacks one of these
     /// groups.
-    pub fn may_lose(&self, groups: &BTreeSet<String>) -> bool {
+    pub fn may_lose(&self, leases: &LeaseScope) -> bool {
         let inner = self.lock();
         let mut writes = inner.own_writes.iter();
-        writes.any(|write| !groups.is_subset(&write.groups))
+        writes.any(|write| !write.leases.covers(leases))
     }
 
     /// Whether this node's entry names a group whose primary it may use, when all changes of the
@@ -271,9 +284,9 @@
         let listed = inner.nodes.as_ref();
         let listed = listed.and_then(|nodes| nodes.get(&self.own_name));
         let allows =
-            |node: &ListedNode| node.version <= version && node.entry.lease_groups.contains(group);
+            |node: &ListedNode| node.version <= version && node.entry.leases.contains(group);
         let mut writes = inner.own_writes.iter();
-        writes.all(|write| write.groups.contains(group)) && listed.is_some_and(allows)
+        writes.all(|write| write.leases.contains(group)) && listed.is_some_and(allows)
     }
 
     /// All other nodes that may hold the lease of a group's primary: those whose entry names the
@@ -329,14 +342,44 @@
             return Arc::new(ChosenNodes::unknown());
         };
         let nodes = staying(nodes);
-        let watchers = self
+        let mut watchers = self
             .place
             .choose(&nodes, WATCHED_SUBJECT, watchers_per_zone);
+        self.place.spread(&mut watchers.others);
         let watchers = Arc::new(watchers);
         inner.watchers = Some(Arc::clone(&watchers));
         watchers
     }
 
+    /// The watchers that a node of a zone is to follow, some of them; none before any is known.
+    pub fn watchers_for(&self, name: &str, zone: &str) -> Option<ToldWatchers> {
+        if !*self.is_known.borrow() {
+            return None;
+        }
+        let watchers = self.watchers();
+        let own = watchers
+            .is_own
+            .then(|| peer_node(&self.own_name, &self.own));
+        let mut others: Vec<PeerNode> = watchers.others.iter().cloned().chain(own).collect();
+        let is_caller = others.iter().any(|watcher| watcher.name == name);
+        let digest = subject_digest(name);
+        others.retain(|watcher| watcher.name != name);
+        others.sort_by_cached_key(|watcher| {
+            let rank = rendezvous_score(digest, NodeKey(subject_digest(&watcher.name)));
+            (watcher.zone != zone, Reverse(rank))
+        });
+        others.truncate(TOLD_WATCHERS);
+        let nodes = others.into_iter().map(|watcher| ToldNode {
+            name: watcher.name,
+            address: watcher.address,
+            zone: watcher.zone,
+        });
+        Some(ToldWatchers {
+            is_caller,
+            nodes: List(nodes.collect()),
+        })
+    }
+
     /// The homes of a group in the order in which this node asks them for a tenant: first those in
     /// the region of a zone.
     pub fn ranked_for(&self, homes: &ChosenNodes, tenant: &str, zone: &str) -> Vec<Home> {
--- a/crates/spurpier-pipeline/src/lib.rs
+++ b/crates/spurpier-pipeline/src/lib.rs
@@ -28,6 +28,7 @@
 mod quota;
 mod readiness;
 mod server;
+pub mod server_rows;
 mod session;
 pub mod settings;
 mod tenant;
--- a/crates/spurpier-pipeline/src/membership.rs
+++ b/crates/spurpier-pipeline/src/membership.rs
@@ -17,7 +17,7 @@
 use crate::follow::RowSink;
 use crate::forward::LostNodes;
 use crate::node_entry::{ListedNode, NodeEntry};
-use crate::ports::{Condition, Row, Table, TransactOutcome, Transaction, Write};
+use crate::ports::{Condition, Row, Shard, Table, TransactOutcome, Transaction, Write};
 
 /// How long one write of the own entry may take.
 const WRITE_LIMIT: Duration = Duration::from_secs(1);
@@ -66,7 +66,7 @@
         changes.borrow_and_update();
         let listing = context.homes.own_listing();
         let entry = NodeEntry {
-            lease_groups: context.wanted_leases(),
+            leases: context.wanted_leases(),
             ..NodeEntry::own(&context.settings)
         };
         let listed = listing.as_ref().map(|listing| &listing.entry);
@@ -80,7 +80,7 @@
             EntryState::Lacking => true,
         };
         // A former write that is carried out late would take back a group that is in use.
-        let may_lose = context.homes.may_lose(&entry.lease_groups);
+        let may_lose = context.homes.may_lose(&entry.leases);
         if !is_due && !may_lose {
             await_change(&context, &mut changes).await;
             continue;
@@ -112,10 +112,10 @@
         return EntryState::Current;
     }
     let with_groups = NodeEntry {
-        lease_groups: listed.lease_groups.clone(),
+        leases: listed.leases.clone(),
         ..wanted.clone()
     };
-    if *listed == with_groups && wanted.lease_groups.is_subset(&listed.lease_groups) {
+    if *listed == with_groups && listed.leases.covers(&wanted.leases) {
         EntryState::Surplus
     } else {
         EntryState::Lacking
@@ -172,7 +172,7 @@
 ) -> Option<u64> {
     let key = context.settings.node.name.clone();
     let version = listing.map_or(0, |listing| listing.version);
-    context.homes.note_own_write(version, &entry.lease_groups);
+    context.homes.note_own_write(version, &entry.leases);
     let condition = Condition {
         table: Table::Cluster,
         key: key.clone(),
@@ -183,7 +183,7 @@
         key,
         value: Bytes::from(entry.serialize_bin()),
     };
-    try_write(context, vec![condition], write).await
+    try_write(context, vec![condition], write, &context.settings.node.name).await
 }
 
 /// Tells that this node is about to end, if the store answers: others give it no more work, and
@@ -207,14 +207,21 @@
 pub async fn unlist_self(context: &Context) {
     let key = context.settings.node.name.clone();
     let table = Table::Cluster;
-    try_write(context, Vec::new(), Write::Remove { table, key }).await;
+    let write = Write::Remove { table, key };
+    try_write(context, Vec::new(), write, &context.settings.node.name).await;
 }
 
 /// The version of the write; none if it was not made or the store does not tell.
-async fn try_write(context: &Context, conditions: Vec<Condition>, write: Write) -> Option<u64> {
+async fn try_write(
+    context: &Context,
+    conditions: Vec<Condition>,
+    write: Write,
+    node: &str,
+) -> Option<u64> {
     let call = context.store.transact(Transaction {
         conditions,
         writes: vec![write],
+        shard: Shard::of_node(node),
     });
     match timeout(WRITE_LIMIT, call).await {
         Ok(Ok(TransactOutcome::Made(version))) => Some(version),
@@ -238,7 +245,8 @@
             key: key.clone(),
             version,
         }];
-        try_write(&context, conditions, Write::Remove { table, key }).await;
+        let node = key.clone();
+        try_write(&context, conditions, Write::Remove { table, key }, &node).await;
     }
 }
 
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -206,7 +206,7 @@
             holds_duty: AtomicBool::new(false),
             lease_wanted: Notify::new(),
             known_tables: KnownTables::new(),
-            news_turns: Arc::new(Semaphore::new(NEWS_TURNS)),
+            news_turns: std::array::from_fn(|_| Arc::new(Semaphore::new(NEWS_TURNS))),
             metrics: Metrics::default(),
             log_budget: LogBudget::default(),
             forwarded: TaskTracker::new(),
--- a/crates/spurpier-pipeline/src/node_entry.rs
+++ b/crates/spurpier-pipeline/src/node_entry.rs
@@ -29,8 +29,30 @@
     /// Whether it is about to end: it is given no work, but may still do what it has.
     pub leaving: bool,
     /// The groups whose primary it may use under a lease; a decision on a group's primary asks
-    /// the nodes that name the group here, and no others.
-    pub lease_groups: BTreeSet<String>,
+    /// the nodes whose entries have the group here, and no others.
+    pub leases: LeaseScope,
+}
+
+/// The groups whose primary a node may use under a lease.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct LeaseScope {
+    /// Those that are named.
+    pub groups: BTreeSet<String>,
+    /// Whether all others are meant too, as for the holder of the promotion duty: naming them would
+    /// take a row of 12 bytes a group, and the store takes rows of 64 KB at most.
+    pub is_all: bool,
+}
+
+impl LeaseScope {
+    /// Whether a group is meant.
+    pub fn contains(&self, group: &str) -> bool {
+        self.is_all || self.groups.contains(group)
+    }
+
+    /// Whether all groups of another scope are meant.
+    pub fn covers(&self, other: &LeaseScope) -> bool {
+        self.is_all || (!other.is_all && other.groups.is_subset(&self.groups))
+    }
 }
 
 /// An entry as the store lists it.
@@ -51,7 +73,7 @@
             weight: settings.node.weight,
             link_mbps: settings.node.link_mbps,
             leaving: false,
-            lease_groups: BTreeSet::new(),
+            leases: LeaseScope::default(),
         }
     }
 
@@ -81,8 +103,9 @@
         self.weight.ser_bin(output);
         self.link_mbps.ser_bin(output);
         self.leaving.ser_bin(output);
-        let groups = self.lease_groups.iter().cloned().map(LongText);
+        let groups = self.leases.groups.iter().cloned().map(LongText);
         List(groups.collect()).ser_bin(output);
+        self.leases.is_all.ser_bin(output);
     }
 }
 
@@ -94,11 +117,15 @@
             weight: f64::de_bin(offset, bytes)?,
             link_mbps: f64::de_bin(offset, bytes)?,
             leaving: bool::de_bin(offset, bytes)?,
-            lease_groups: List::<LongText>::de_bin(offset, bytes)?
-                .0
-                .into_iter()
-                .map(|name| name.0)
-                .collect(),
+            leases: LeaseScope {
+                groups: List::<LongText>::de_bin(offset, bytes)?
+                    .0
+                    .into_iter()
+                    .map(|name| name.0)
+                    .collect(),
+                // Entries of nodes that always name all their groups end before.
+                is_all: *offset < bytes.len() && bool::de_bin(offset, bytes)?,
+            },
         })
     }
 }
--- a/crates/spurpier-pipeline/src/ports/directory.rs
+++ b/crates/spurpier-pipeline/src/ports/directory.rs
@@ -40,6 +40,67 @@
     pub cold_for: Duration,
 }
 
+/// What a server tells of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum EntryField {
+    /// Its name.
+    Name,
+    /// Its group.
+    Group,
+    /// Its address.
+    Address,
+    /// Its zone.
+    Zone,
+    /// The version of its software.
+    Software,
+    /// How many statements it runs at the same time.
+    Slots,
+    /// Whether it is about to end.
+    State,
+    /// For how long it stays cold.
+    Cold,
+    /// Its role.
+    Role,
+    /// How often it has written its entry.
+    Writes,
+    /// When it started.
+    Start,
+}
+
+impl EntryField {
+    /// All fields.
+    pub const ALL: [EntryField; 11] = [
+        EntryField::Name,
+        EntryField::Group,
+        EntryField::Address,
+        EntryField::Zone,
+        EntryField::Software,
+        EntryField::Slots,
+        EntryField::State,
+        EntryField::Cold,
+        EntryField::Role,
+        EntryField::Writes,
+        EntryField::Start,
+    ];
+
+    /// The field as logs name it.
+    pub const fn text(self) -> &'static str {
+        match self {
+            EntryField::Name => "name",
+            EntryField::Group => "group",
+            EntryField::Address => "address",
+            EntryField::Zone => "zone",
+            EntryField::Software => "software",
+            EntryField::Slots => "slots",
+            EntryField::State => "state",
+            EntryField::Cold => "cold",
+            EntryField::Role => "role",
+            EntryField::Writes => "writes",
+            EntryField::Start => "start",
+        }
+    }
+}
+
 /// Why a row of the directory names no server to use.
 ///
 /// Whoever else writes there may leave out fields, give them other types, or put anything in.
@@ -48,7 +109,7 @@
     /// The value is no object with fields.
     Unreadable,
     /// A field is missing, of another type, or outside of what it may hold.
-    Field(&'static str),
+    Field(EntryField),
     /// The state is none that a server can be in.
     UnknownState,
     /// The role is none that a server can have.
@@ -73,7 +134,7 @@
 impl fmt::Display for UnusableEntry {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            UnusableEntry::Field(name) => write!(formatter, "field {name}"),
+            UnusableEntry::Field(field) => write!(formatter, "field {}", field.text()),
             other => formatter.write_str(other.text()),
         }
     }
--- a/crates/spurpier-pipeline/src/ports/mod.rs
+++ b/crates/spurpier-pipeline/src/ports/mod.rs
@@ -16,12 +16,15 @@
 pub use dialect::{
     ClientDialect, ClientMessage, ProtocolViolation, ServerDialect, ServerMessage, ServerRequest,
 };
-pub use directory::{EntryFormat, ServerEntry, ServerRole, ServerStatus, UnusableEntry};
+pub use directory::{
+    EntryField, EntryFormat, ServerEntry, ServerRole, ServerStatus, UnusableEntry,
+};
 pub use promotion::{FencingToken, Promotion, PromotionAnswer, PromotionService};
 pub use statement::{
     Answer, Completion, Effect, ErrorClass, Request, ServerError, Statement, TransactionState,
 };
 pub use store::{
-    Condition, MetadataStore, ReadRows, Row, StoreError, Table, TransactOutcome, Transaction, Write,
+    Condition, MetadataStore, ReadRows, Row, Shard, StoreError, Table, TransactOutcome,
+    Transaction, Write,
 };
 pub use tenant::{KeyDigest, Quota, Tenant};
--- a/crates/spurpier-pipeline/src/ports/store.rs
+++ b/crates/spurpier-pipeline/src/ports/store.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
+use spurpier_core::homes::subject_digest;
 
 use crate::progress::Progress;
 
@@ -21,6 +22,46 @@
     Duty,
 }
 
+/// How many shards the nodes' entries are spread over.
+///
+/// A shard takes 200 writes a second one after another, the store 3,200 in all: with as many shards
+/// as use that up, 985 nodes list themselves in 0.3 s and 6,100 in 1.9 s.
+const NODE_SHARDS: u8 = 16;
+
+/// A part of the store whose writes are carried out one after another.
+///
+/// Rows that one transaction changes or looks at share a shard. The operator's writes stand in that of
+/// the platform, where no row of ours makes them wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Shard {
+    /// What the platform and the operator write.
+    Platform,
+    /// Who holds the duty and which successions it has decided on.
+    Duty,
+    /// The entries of some of the nodes.
+    Nodes(u8),
+}
+
+impl Shard {
+    /// All shards of a table.
+    pub fn all(table: Table) -> Vec<Shard> {
+        match table {
+            Table::Configuration | Table::Servers => vec![Shard::Platform],
+            Table::Duty => vec![Shard::Duty],
+            Table::Cluster => {
+                let nodes = (0..NODE_SHARDS).map(Shard::Nodes);
+                nodes.chain([Shard::Duty]).collect()
+            }
+        }
+    }
+
+    /// The shard of a node's entry.
+    pub fn of_node(name: &str) -> Shard {
+        let shard = subject_digest(name) % u64::from(NODE_SHARDS);
+        Shard::Nodes(shard as u8)
+    }
+}
+
 /// A row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Row {
@@ -77,13 +118,15 @@
     pub version: u64,
 }
 
-/// Changes of any tables, made together under conditions.
+/// Changes of rows of one shard, in any tables, made together under conditions.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Transaction {
     /// The conditions.
     pub conditions: Vec<Condition>,
     /// The changes.
     pub writes: Vec<Write>,
+    /// In which shard all of them stand.
+    pub shard: Shard,
 }
 
 /// How a transaction ended.
--- a/crates/spurpier-pipeline/tests/homes.rs
+++ b/crates/spurpier-pipeline/tests/homes.rs
@@ -9,7 +9,7 @@
 use spurpier_core::membership::NodeKey;
 use spurpier_core::time::Timestamp;
 use spurpier_pipeline::homes::{ChosenNodes, Homes, PeerNode};
-use spurpier_pipeline::node_entry::{ListedNode, NodeEntry};
+use spurpier_pipeline::node_entry::{LeaseScope, ListedNode, NodeEntry};
 use spurpier_pipeline::settings::PipelineSettings;
 
 const OWN: &str = "node-0";
@@ -69,7 +69,10 @@
             weight: self.weight,
             link_mbps: 100.0,
             leaving: self.leaving,
-            lease_groups: BTreeSet::from([group(self.lease_group)]),
+            leases: LeaseScope {
+                groups: BTreeSet::from([group(self.lease_group)]),
+                is_all: false,
+            },
         };
         ListedNode { entry, version: 1 }
     }
