Lose no commit where a node that has just started takes an evacuation over

Cause: a primary of an evacuated zone steps down, the deciding node dies before the order, and the next one has started meanwhile: with the zone closed it does not know that the former primary lives and may hold more, and orders a replica that lacks commits.

The decision names the primary that is deposed and lives on, until its successor was ordered to lead; a node that takes it over waits for what that one holds.

evacuations::a_node_that_starts_after_a_step_down_orders_no_server_that_lacks_commits fails without it: the acknowledged second write was missing from the new primary's log. Price: one more write to the store for each primary that is handed over out of an evacuated zone.

--- a/crates/spurpier-core/src/lead/knowledge.rs
+++ b/crates/spurpier-core/src/lead/knowledge.rs
@@ -157,6 +157,9 @@
         if self.lead.as_ref() != Some(&succession.successor) {
             self.lead = None;
         }
+        if let Some(deposed) = &succession.deposed {
+            self.led_last = Some(deposed.clone());
+        }
         true
     }
 
--- a/crates/spurpier-core/src/lead/lease.rs
+++ b/crates/spurpier-core/src/lead/lease.rs
@@ -43,6 +43,9 @@
     pub successor: Incarnation,
     /// What it had received when it was chosen, which its log holds as long as that life lasts.
     pub received: Position,
+    /// The primary that steps down for it and lives on, until it has been ordered to lead: a node
+    /// that takes the decision over orders nobody that lacks what this one holds.
+    pub deposed: Option<Incarnation>,
 }
 
 impl Succession {
@@ -53,6 +56,7 @@
             token,
             successor: Incarnation::new(name, details.started_ms),
             received: details.received,
+            deposed: details.deposed,
         }
     }
 
@@ -61,24 +65,32 @@
         SuccessorDetails {
             started_ms: self.successor.started_ms(),
             received: self.received,
+            deposed: self.deposed.clone(),
         }
     }
 }
 
 /// What is told of a successor at the end of a row or message: nodes that do not know of it stop
 /// reading before, and of what they write it is not known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct SuccessorDetails {
     /// When the server started, by its own clock; none if it is not known.
     pub started_ms: Option<u64>,
     /// What it had received when it was chosen; the start of the log if that is not known.
     pub received: Position,
+    /// The primary that steps down for it and lives on, until it has been ordered to lead.
+    pub deposed: Option<Incarnation>,
 }
 
 impl SerBin for SuccessorDetails {
     fn ser_bin(&self, output: &mut Vec<u8>) {
         self.started_ms.ser_bin(output);
         self.received.ser_bin(output);
+        self.deposed.is_some().ser_bin(output);
+        if let Some(deposed) = &self.deposed {
+            encode_text(deposed.name(), output);
+            deposed.started_ms().ser_bin(output);
+        }
     }
 }
 
@@ -87,9 +99,18 @@
         if *offset >= bytes.len() {
             return Ok(SuccessorDetails::default());
         }
+        let started_ms = Option::de_bin(offset, bytes)?;
+        let received = Position::de_bin(offset, bytes)?;
+        let deposed = if bool::de_bin(offset, bytes)? {
+            let name = decode_text(offset, bytes)?;
+            Some(Incarnation::new(name, Option::de_bin(offset, bytes)?))
+        } else {
+            None
+        };
         Ok(SuccessorDetails {
-            started_ms: Option::de_bin(offset, bytes)?,
-            received: Position::de_bin(offset, bytes)?,
+            started_ms,
+            received,
+            deposed,
         })
     }
 }
--- a/crates/spurpier-core/tests/incarnation_model/mod.rs
+++ b/crates/spurpier-core/tests/incarnation_model/mod.rs
@@ -494,6 +494,7 @@
             token: self.stored.as_ref().map_or(0, |stored| stored.token) + 1,
             successor: chosen.incarnation.clone(),
             received: received(&chosen).unwrap_or_default(),
+            deposed: None,
         };
         self.stored = Some(succession.clone());
         let now = self.now();
--- a/crates/spurpier-core/tests/incarnations.rs
+++ b/crates/spurpier-core/tests/incarnations.rs
@@ -185,6 +185,7 @@
         token: 7,
         successor: Incarnation::new("i-1", Some(1_776_308_701_290)),
         received: Position::new(3, 1_207),
+        deposed: Some(Incarnation::new("i-2", None)),
     };
     let read = Succession::deserialize_bin(&succession.serialize_bin());
     assert_eq!(read.expect("it is read"), succession);
@@ -193,4 +194,5 @@
     let read = Succession::deserialize_bin(&former_form).expect("it is read");
     assert_eq!(read.successor, Incarnation::new("i-1", None));
     assert_eq!(read.received, Position::ZERO);
+    assert_eq!(read.deposed, None);
 }
--- a/crates/spurpier-pipeline/src/directory.rs
+++ b/crates/spurpier-pipeline/src/directory.rs
@@ -146,13 +146,15 @@
                 }
             }
             RosterChange::Restart { former, present } => {
-                log_event!(
-                    events::SERVER_RESTARTED,
-                    group = present.group,
-                    former = former.incarnation,
-                    present = present.incarnation,
-                    address = present.address
-                );
+                if self.context.homes_of(&present.group).is_own {
+                    log_event!(
+                        events::SERVER_RESTARTED,
+                        group = present.group,
+                        former = former.incarnation,
+                        present = present.incarnation,
+                        address = present.address
+                    );
+                }
                 self.end_life(&former);
                 if let Some(listed) = entries.remove(present.incarnation.name()) {
                     self.enter(state, listed, log);
@@ -215,7 +217,7 @@
 
     fn add(&self, group: &Group, entry: ServerEntry, version: u64, log: LogServers) {
         let context = &self.context;
-        if log == LogServers::Each {
+        if log == LogServers::Each && context.homes_of(&group.name).is_own {
             log_event!(
                 events::SERVER_ADDED,
                 group = group.name,
@@ -339,7 +341,8 @@
 /// Why a row is not used whose group no configuration names, as metrics name it.
 const UNKNOWN_GROUP: &str = "unknown_group";
 
-/// Whether servers that come are logged one by one; a whole table is told in one line.
+/// Whether servers that come are logged one by one, by the homes of their groups; a whole table is
+/// told in one line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LogServers {
     Each,
--- a/crates/spurpier-pipeline/src/duty/hand_over.rs
+++ b/crates/spurpier-pipeline/src/duty/hand_over.rs
@@ -5,12 +5,13 @@
 use spurpier_core::position::Position;
 use spurpier_events::log_event;
 
-use super::holder::{KnownDuty, read_duty};
+use super::holder::{KnownDuty, note_ordered, read_duty};
 use super::round::Round;
 use super::successor::{SteppedDown, Successor, find_heir, find_heir_in, order, step_down};
 use super::watch::{Case, UNDECIDED_PAUSE};
 use crate::events;
 use crate::places::MoveReason;
+use crate::ports::PromotionAnswer;
 use crate::server::Server;
 
 impl Case {
@@ -30,7 +31,9 @@
         if reason == MoveReason::Evacuated && !self.may_step_down(&former, &heir.server).await {
             return;
         }
-        let Some(decision) = self.decide(duty, &heir).await else {
+        // Once its zone is closed a node that takes this over could not ask it what it holds.
+        let deposed = former.is_evacuated().then_some(&*former);
+        let Some(decision) = self.decide(duty, &heir, deposed).await else {
             return;
         };
         let heir = heir.server;
@@ -55,6 +58,9 @@
         if may_order && let Some(ordering) = round.await_order().await {
             let answer = order(&context, &group, &heir, decision.token()).await;
             drop(ordering);
+            if deposed.is_some() && answer == Ok(PromotionAnswer::Accepted) {
+                note_ordered(&context, &group, &decision).await;
+            }
             self.note_ordered(&answer, Some(&former)).await;
         }
         round.clean_up().await;
@@ -91,7 +97,7 @@
             server: Arc::clone(former),
             received,
         };
-        let Some(decision) = self.decide(&duty.holder, &again).await else {
+        let Some(decision) = self.decide(&duty.holder, &again, None).await else {
             return;
         };
         let peers = Arc::clone(&self.peers);
--- a/crates/spurpier-pipeline/src/duty/holder.rs
+++ b/crates/spurpier-pipeline/src/duty/holder.rs
@@ -18,6 +18,7 @@
     Condition, FencingToken, Row, Shard, Table, TransactOutcome, Transaction, Write,
 };
 use crate::progress::Progress;
+use crate::server::Server;
 
 /// The key of the row of the duty's holder.
 const KEY: &str = "promotion";
@@ -151,12 +152,14 @@
     known: &KnownDuty,
     group: &Group,
     successor: &Successor,
+    deposed: Option<&Server>,
 ) -> Option<Decision> {
     let next = DutyRow::next(known.row.as_ref(), &context.settings.node.name);
     let succession = Succession {
         token: next.token,
         successor: successor.server.incarnation.clone(),
         received: successor.received,
+        deposed: deposed.map(|server| server.incarnation.clone()),
     };
     let condition = Condition {
         table: Table::Duty,
@@ -190,6 +193,27 @@
     })
 }
 
+/// Notes in the store that the successor of a decision was ordered to lead, so that nobody waits for
+/// what the deposed primary holds any more. If that fails, a later decision may wait needlessly.
+pub async fn note_ordered(context: &Context, group: &Group, decision: &Decision) {
+    let key = succession_key(&group.name);
+    let condition = Condition {
+        table: Table::Cluster,
+        key: key.clone(),
+        version: decision.version,
+    };
+    let succession = Succession {
+        deposed: None,
+        ..decision.succession.clone()
+    };
+    let write = Write::Put {
+        table: Table::Cluster,
+        key,
+        value: Bytes::from(succession.serialize_bin()),
+    };
+    make(context, vec![condition], vec![write]).await;
+}
+
 /// Whether a decision is still its group's newest; none if the store does not tell.
 pub async fn confirm_decision(
     context: &Context,
--- a/crates/spurpier-pipeline/src/duty/watch.rs
+++ b/crates/spurpier-pipeline/src/duty/watch.rs
@@ -294,7 +294,7 @@
             return;
         }
         let nobody_leads = self.has_decided_last(duty);
-        let Some(decision) = self.decide(duty, &successor).await else {
+        let Some(decision) = self.decide(duty, &successor, None).await else {
             return;
         };
         self.note_decided_anew();
@@ -317,7 +317,8 @@
         round.clean_up().await;
     }
 
-    /// Stores the decision that a server takes over; from then on this node uses no other.
+    /// Stores the decision that a server takes over; from then on this node uses no other. A primary
+    /// that is deposed and lives on is named with it.
     ///
     /// Only a node that is registered for the group decides, and it stays registered while its case
     /// is open: a newer decision waits for it, and so for its order.
@@ -325,11 +326,12 @@
         &mut self,
         duty: &KnownDuty,
         successor: &Successor,
+        deposed: Option<&Server>,
     ) -> Option<Decision> {
         if !self.context.holds_lease(&self.group) {
             return None;
         }
-        let decision = store_decision(&self.context, duty, &self.group, successor).await?;
+        let decision = store_decision(&self.context, duty, &self.group, successor, deposed).await?;
         yield_to(
             &self.context,
             &self.group,
--- a/crates/spurpier-pipeline/src/follow/mod.rs
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -44,8 +44,9 @@
 /// How long the nodes wait for each other to be listed at the first start of the whole system: the
 /// store takes 200 writes a second, and 295 nodes write one each.
 const FLEET_LISTED: Duration = Duration::from_millis(2_000);
-/// How long a starting node waits for the list of nodes before it reads the other tables itself.
-const LIST_LIMIT: Duration = Duration::from_millis(800);
+/// How long a starting node waits for the list of nodes before it reads the other tables itself: at a
+/// start of the whole fleet a seed reads the list, then the watchers, then all others.
+const LIST_LIMIT: Duration = Duration::from_millis(2_500);
 
 /// What is done with the rows of a table.
 pub trait RowSink: Send {
--- a/crates/spurpier-pipeline/src/forward/link.rs
+++ b/crates/spurpier-pipeline/src/forward/link.rs
@@ -231,6 +231,11 @@
             self.note_heard();
             match message {
                 LinkMessage::Reply { number, reply } => {
+                    if matches!(&reply, Reply::News(news) if news.is_large()) {
+                        // Told before the news are taken in, which may take long on a slow node. A
+                        // turn whose end cannot be told ends by itself.
+                        let _ = self.writer.try_send(LinkMessage::NewsCame(number));
+                    }
                     let caller = self.pending().calls.remove(&number);
                     if let Some(caller) = caller {
                         // A caller that is gone needs no reply.
--- a/crates/spurpier-pipeline/src/forward/messages.rs
+++ b/crates/spurpier-pipeline/src/forward/messages.rs
@@ -42,6 +42,8 @@
     },
     /// Caller: nobody awaits the call any more.
     Cancel(u64),
+    /// Caller: much news of a table, the reply to this call, have come whole.
+    NewsCame(u64),
     /// Caller: drops a transaction; there is no reply.
     EndTransaction(u64),
     /// Runner: how a call ended.
--- a/crates/spurpier-pipeline/src/forward/server.rs
+++ b/crates/spurpier-pipeline/src/forward/server.rs
@@ -34,8 +34,8 @@
 const UNUSED_LIMIT: Duration = Duration::from_secs(60);
 /// The longest wait for news that is taken.
 const LONGEST_NEWS_WAIT: Duration = Duration::from_secs(5);
-/// How long a caller keeps its turn to be told much of a table if it does not ask again: 69 KB take
-/// half of it on a tenth of a link of 10 Mbit/s.
+/// How long a caller keeps its turn to be told much of a table if it does not say that it has come:
+/// 69 KB take half of it on a tenth of a link of 10 Mbit/s.
 const TURN_LIMIT: Duration = Duration::from_secs(1);
 /// Replies that may wait to be written.
 const WRITE_CAPACITY: usize = 4_096;
@@ -83,8 +83,8 @@
 struct Open {
     calls: HashMap<u64, AbortHandle>,
     transactions: HashMap<u64, HeldTransaction>,
-    /// What keeps the caller's turns to be told much of a table, by the table's number.
-    turns: HashMap<u8, AbortHandle>,
+    /// What keeps the caller's turns to be told much of a table, by the calls' numbers.
+    turns: HashMap<u64, AbortHandle>,
 }
 
 /// What one caller has open here.
@@ -122,6 +122,7 @@
             match message {
                 LinkMessage::Call { number, call } => self.start(number, call),
                 LinkMessage::Cancel(number) => self.cancel(number),
+                LinkMessage::NewsCame(number) => self.end_turn(number),
                 LinkMessage::EndTransaction(number) => self.end_transaction(number).await,
                 LinkMessage::Ping => {
                     // A queue that is full holds replies, which say as much.
@@ -137,7 +138,7 @@
         // Held until the call is noted, so that a call that ends at once is forgotten after it.
         let mut open = self.open();
         let running = self.context.forwarded.spawn(async move {
-            let reply = served.run(call).await;
+            let reply = served.run(number, call).await;
             served.open().calls.remove(&number);
             // A caller that is gone needs no reply.
             let _ = served
@@ -171,7 +172,7 @@
         }
     }
 
-    async fn run(&self, call: Call) -> Reply {
+    async fn run(&self, number: u64, call: Call) -> Reply {
         match call {
             Call::Single { head, work, effect } => {
                 self.run_single(head, Work::from(work), effect).await
@@ -214,7 +215,10 @@
                 table,
                 version,
                 wait_ms,
-            } => self.tell_news(table, version, duration(wait_ms)).await,
+            } => {
+                self.tell_news(number, table, version, duration(wait_ms))
+                    .await
+            }
         }
     }
 
@@ -234,11 +238,16 @@
     ///
     /// Large news are told to a few nodes at a time. Told to all followers at once they fill a
     /// narrow link for seconds, the followers take this node as silent and ask others, which are
-    /// overloaded in turn: 6,100 calls to the store on a day of 295 nodes and 2,800 new routes.
-    async fn tell_news(&self, table: u8, version: Option<u64>, wait: Duration) -> Reply {
+    /// overloaded in turn: 6,100 calls to the store on a day of 295 nodes and 2,800 new routes. A
+    /// turn ends as the news have come, however long the follower takes to work them in.
+    async fn tell_news(
+        &self,
+        number: u64,
+        table: u8,
+        version: Option<u64>,
+        wait: Duration,
+    ) -> Reply {
         let called_at = self.context.clock.now();
-        // Who asks again has what it was told before.
-        self.end_turn(table);
         let known = &self.context.known_tables;
         let mut changes = known.changes();
         let news = async {
@@ -264,22 +273,24 @@
             };
             // What has changed since, and how old it is now.
             told = news();
-            self.keep_turn(table, turn);
+            self.keep_turn(number, turn);
         }
         told.map_or(Reply::NotTaken, Reply::News)
     }
 
-    /// Keeps a turn until the caller asks again of the table, for a while.
-    fn keep_turn(&self, table: u8, turn: OwnedSemaphorePermit) {
+    /// Keeps a turn until the caller has the reply to a call, for a while.
+    fn keep_turn(&self, number: u64, turn: OwnedSemaphorePermit) {
         let kept = tokio::spawn(async move {
             tokio::time::sleep(TURN_LIMIT).await;
             drop(turn);
         });
-        self.open().turns.insert(table, kept.abort_handle());
+        let mut open = self.open();
+        open.turns.retain(|_, kept| !kept.is_finished());
+        open.turns.insert(number, kept.abort_handle());
     }
 
-    fn end_turn(&self, table: u8) {
-        if let Some(kept) = self.open().turns.remove(&table) {
+    fn end_turn(&self, number: u64) {
+        if let Some(kept) = self.open().turns.remove(&number) {
             kept.abort();
         }
     }
