--- a/crates/spurpier-pipeline/src/follow/mod.rs
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -81,6 +81,7 @@
 
 /// Follows a table; never returns.
 pub async fn follow(context: Arc<Context>, table: Table, sink: impl RowSink) {
+    let first_start = context.settings.node.first_start;
     let mut follower = Follower {
         patience: Patience::of(table, &context.settings.bounds),
         context,
@@ -95,6 +96,7 @@
         store_clock: StoreClock::default(),
         passed_over: HashMap::new(),
         is_new: true,
+        is_told_from_start: table == Table::Cluster && first_start,
     };
     follower.await_others().await;
     loop {
@@ -143,6 +145,9 @@
     passed_over: HashMap<String, Timestamp>,
     /// Whether nothing has been asked for yet.
     is_new: bool,
+    /// Whether the store may remember all changes of the table since the whole system has started:
+    /// one call then tells of all shards.
+    is_told_from_start: bool,
 }
 
 impl<S: RowSink> Follower<S> {
@@ -179,17 +184,11 @@
         }
         match self.version {
             Some(version) => self.ask_changes(version).await,
-            // The store remembers all changes since the whole system has started: one call tells
-            // of all shards.
-            None if is_new && self.is_told_from_start() => self.ask_changes(0).await,
+            None if self.is_told_from_start => self.ask_changes(0).await,
             None => self.read().await,
         }
     }
 
-    fn is_told_from_start(&self) -> bool {
-        self.table == Table::Cluster && self.context.settings.node.first_start
-    }
-
     /// The nodes to ask before the store; none if the store is to be asked.
     fn peers(&mut self) -> Vec<PeerNode> {
         let now = self.context.clock.now();
@@ -326,7 +325,10 @@
                     tokio::time::sleep(NODES_PAUSE).await;
                 }
             }
-            Some(Err(StoreError::HistoryGone)) => self.version = None,
+            Some(Err(StoreError::HistoryGone)) => {
+                self.version = None;
+                self.is_told_from_start = false;
+            }
             Some(Err(error)) => self.note_failure(error).await,
             None => self.note_failure(StoreError::Unknown).await,
         }
