Ask the store at most four times a second for the changes of a table

A change that follows another one of its table within 250 ms is told together with those after it; one that comes alone is told at once, as before.

--- a/crates/spurpier-pipeline/src/follow/mod.rs
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -39,8 +39,10 @@
 const PASS_OVER: Duration = Duration::from_secs(3);
 /// How often a watcher that follows another one asks the store again.
 const STORE_AGAIN: Duration = Duration::from_secs(2);
-/// The pause after a change of the nodes, so that nodes which start together are told at once.
-const NODES_PAUSE: Duration = Duration::from_millis(250);
+/// The pause after a change of the nodes, so that nodes which start together are told at once, and
+/// after a change of any table that follows another one within this time: a call to the store tells
+/// of all changes since the last one, however many there are.
+const CHANGES_PAUSE: Duration = Duration::from_millis(250);
 /// How long the nodes wait for each other to be listed at the first start of the whole system: the
 /// store takes 200 writes a second, and 295 nodes write one each.
 const FLEET_LISTED: Duration = Duration::from_millis(2_000);
@@ -95,6 +97,7 @@
         told_at: Timestamp::ZERO,
         store_clock: StoreClock::default(),
         passed_over: HashMap::new(),
+        changed_at: None,
         is_new: true,
         is_told_from_start: table == Table::Cluster && first_start,
     };
@@ -143,6 +146,8 @@
     told_at: Timestamp,
     store_clock: StoreClock,
     passed_over: HashMap<String, Timestamp>,
+    /// When the store last told of changes.
+    changed_at: Option<Timestamp>,
     /// Whether nothing has been asked for yet.
     is_new: bool,
     /// Whether the store may remember all changes of the table since the whole system has started:
@@ -321,8 +326,8 @@
                     Some(rows) => self.take_all(&rows, changes.version, told_at),
                     None => self.take_changes(&rows, changes.version, told_at),
                 }
-                if self.table == Table::Cluster && rows.iter().any(is_node_row) {
-                    tokio::time::sleep(NODES_PAUSE).await;
+                if self.is_due_to_pause(&rows) {
+                    tokio::time::sleep(CHANGES_PAUSE).await;
                 }
             }
             Some(Err(StoreError::HistoryGone)) => {
@@ -334,6 +339,18 @@
         }
     }
 
+    /// Whether more changes are to be expected at once, after these have come.
+    fn is_due_to_pause(&mut self, rows: &[Row]) -> bool {
+        if rows.is_empty() {
+            return false;
+        }
+        let now = self.context.clock.now();
+        let changed_at = self.changed_at.replace(now);
+        let is_burst = changed_at.is_some_and(|before| now.since(before) < CHANGES_PAUSE);
+        let tells_nodes = self.table == Table::Cluster && rows.iter().any(is_node_row);
+        is_burst || tells_nodes
+    }
+
     /// When the store has told this, at the earliest, on this node's clock.
     fn moment_of(&mut self, read: &ReadRows, asked_at: Timestamp) -> Timestamp {
         let now = self.context.clock.now();
