--- a/crates/spurpier-pipeline/src/follow/mod.rs
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -40,8 +40,8 @@
 /// How often a watcher that follows another one asks the store again.
 const STORE_AGAIN: Duration = Duration::from_secs(2);
 /// The pause after a change of the nodes, so that nodes which start together are told at once, and
-/// after a change of any table that follows another one within this time: a call to the store tells
-/// of all changes since the last one, however many there are.
+/// after a change of any table that follows another one within twice this time: a call to the store
+/// tells of all changes since the last one, however many there are.
 const CHANGES_PAUSE: Duration = Duration::from_millis(250);
 /// How long the nodes wait for each other to be listed at the first start of the whole system: the
 /// store takes 200 writes a second, and 295 nodes write one each.
@@ -346,7 +346,7 @@
         }
         let now = self.context.clock.now();
         let changed_at = self.changed_at.replace(now);
-        let is_burst = changed_at.is_some_and(|before| now.since(before) < CHANGES_PAUSE);
+        let is_burst = changed_at.is_some_and(|before| now.since(before) < CHANGES_PAUSE * 2);
         let tells_nodes = self.table == Table::Cluster && rows.iter().any(is_node_row);
         is_burst || tells_nodes
     }
