Let a node that starts again wait for no seed

A seed that is dark, or starts too, would put off the reading of the list: at a later start all seeds are asked at once and for 200 ms at most; the longer wait for the list holds at the first start of the whole system alone.

--- a/crates/spurpier-core/src/directory/roster.rs
+++ b/crates/spurpier-core/src/directory/roster.rs
@@ -57,7 +57,7 @@
     /// The row of a server is gone; it may run on for a while, or come back.
     Leave(Place),
     /// The row of a server cannot be used any more.
-    Discredit(Place),
+    Invalidate(Place),
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -155,7 +155,7 @@
         }
         (_, Told::Server(present)) => RosterChange::Join(present),
         (Some(Told::Server(former)), Told::Removed) => RosterChange::Leave(former),
-        (Some(Told::Server(former)), Told::Unusable) => RosterChange::Discredit(former),
+        (Some(Told::Server(former)), Told::Unusable) => RosterChange::Invalidate(former),
         (_, Told::Removed | Told::Unusable) => RosterChange::Nothing,
     }
 }
--- a/crates/spurpier-core/tests/incarnation_model/mod.rs
+++ b/crates/spurpier-core/tests/incarnation_model/mod.rs
@@ -294,7 +294,7 @@
         let (former, present) = match change {
             RosterChange::Join(present) | RosterChange::Update(present) => (None, Some(present)),
             RosterChange::Restart { former, present } => (Some(former), Some(present)),
-            RosterChange::Nothing | RosterChange::Leave(_) | RosterChange::Discredit(_) => {
+            RosterChange::Nothing | RosterChange::Leave(_) | RosterChange::Invalidate(_) => {
                 (None, None)
             }
         };
--- a/crates/spurpier-core/tests/incarnations.rs
+++ b/crates/spurpier-core/tests/incarnations.rs
@@ -172,7 +172,7 @@
     let server = place("i-1", Some(10), 1);
     roster.take(row(2, Told::Server(server.clone())));
     let spoiled = roster.take(row(3, Told::Unusable));
-    assert_eq!(spoiled, RosterChange::Discredit(server.clone()));
+    assert_eq!(spoiled, RosterChange::Invalidate(server.clone()));
     assert_eq!(roster.place("i-1"), None);
     assert_eq!(roster.place("i-2"), Some(&other));
     let mended = roster.take(row(4, Told::Server(server.clone())));
--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -163,8 +163,8 @@
     /// What is done at each tick goes over these: of 9,600 groups on 6,100 nodes a node is a home
     /// of 19 (worked out).
     pub fn groups_in_use(&self) -> Vec<Arc<Group>> {
-        // Before the list of nodes is known nothing may be decided, and a fleet whose nodes all
-        // looked after all groups would keep the servers busy: 1,000 groups, 985 nodes.
+        // Nothing may be decided before the list of nodes is known, and at a start of the whole fleet
+        // all nodes would look after all groups.
         let served = self.homes.served().unwrap_or_else(|| Arc::from([]));
         let mut groups = self.served_groups(served);
         let now = self.clock.now();
--- a/crates/spurpier-pipeline/src/directory.rs
+++ b/crates/spurpier-pipeline/src/directory.rs
@@ -166,7 +166,7 @@
                 let now = self.context.clock.now();
                 self.leave(&place, self.gone_at(now));
             }
-            RosterChange::Discredit(place) => {
+            RosterChange::Invalidate(place) => {
                 state.set_aside.remove(place.incarnation.name());
                 self.leave(&place, self.context.clock.now());
             }
--- a/crates/spurpier-pipeline/src/follow/mod.rs
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -46,9 +46,11 @@
 /// How long the nodes wait for each other to be listed at the first start of the whole system: the
 /// store takes 200 writes a second, and 295 nodes write one each.
 const FLEET_LISTED: Duration = Duration::from_millis(2_000);
-/// How long a starting node waits for the list of nodes before it reads the other tables itself: at a
-/// start of the whole fleet a seed reads the list, then the watchers, then all others.
-const LIST_LIMIT: Duration = Duration::from_millis(2_500);
+/// How long a starting node waits for the list of nodes before it reads the other tables itself.
+const LIST_LIMIT: Duration = Duration::from_millis(800);
+/// As [`LIST_LIMIT`], at the first start of the whole system: a seed reads the list, then the watchers,
+/// then all others.
+const FLEET_LIST_LIMIT: Duration = Duration::from_millis(2_500);
 
 /// What is done with the rows of a table.
 pub trait RowSink: Send {
@@ -160,15 +162,15 @@
     /// these for the rest.
     async fn await_others(&self) {
         let first_start = self.context.settings.node.first_start;
-        let listed_in = if first_start {
-            FLEET_LISTED
+        let (listed_in, limit) = if first_start {
+            (FLEET_LISTED, FLEET_LIST_LIMIT)
         } else {
-            Duration::ZERO
+            (Duration::ZERO, LIST_LIMIT)
         };
         if self.table == Table::Cluster {
             tokio::time::sleep(listed_in).await;
         } else {
-            let limit = Instant::now() + listed_in + LIST_LIMIT;
+            let limit = Instant::now() + listed_in + limit;
             self.context.homes.await_list(limit).await;
         }
     }
--- a/crates/spurpier-pipeline/src/follow/peer.rs
+++ b/crates/spurpier-pipeline/src/follow/peer.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::stream::{FuturesUnordered, StreamExt};
 use rand::seq::SliceRandom;
 use spurpier_core::time::Timestamp;
 use spurpier_core::wire::LongText;
 use spurpier_events::log_event;
+use tokio::time::timeout;
 
 use super::{Follower, RowSink, TakenNews};
 use crate::events;
@@ -23,6 +25,8 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// How long a seed may take to answer.
 const SEED_LIMIT: Duration = Duration::from_millis(600);
+/// How long a node that starts again waits for any seed: two ways to another region and back.
+const RESTART_SEED_LIMIT: Duration = Duration::from_millis(200);
 
 fn told_peer(told: ToldNode) -> PeerNode {
     PeerNode {
@@ -169,27 +173,56 @@
         if settings.seeds.contains(&settings.listen.control) {
             return Vec::new();
         }
+        let told = if settings.node.first_start {
+            self.ask_seeds_in_turn().await
+        } else {
+            self.ask_seeds_at_once().await
+        };
+        match told {
+            Some(told) if !told.is_caller => told.nodes.0.into_iter().map(told_peer).collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Asks one seed after another, which all of a fleet do as it starts: each waits until it has read
+    /// the list.
+    async fn ask_seeds_in_turn(&self) -> Option<ToldWatchers> {
         let mut seeds = self.other_seeds();
         seeds.shuffle(&mut rand::rng());
         for seed in seeds {
-            if let Some(told) = self.watchers_of_seed(seed).await {
-                return if told.is_caller {
-                    Vec::new()
-                } else {
-                    told.nodes.0.into_iter().map(told_peer).collect()
-                };
+            let told = self.watchers_of_seed(seed, FIRST_NEWS_WAIT).await;
+            if told.is_some() {
+                return told;
             }
         }
-        Vec::new()
+        None
+    }
+
+    /// Asks all seeds, and takes what one of them knows at once: they may be down, or starting too, and
+    /// a node that has started again must not wait for them.
+    async fn ask_seeds_at_once(&self) -> Option<ToldWatchers> {
+        let seeds = self.other_seeds().into_iter();
+        let mut asked: FuturesUnordered<_> = seeds
+            .map(|seed| self.watchers_of_seed(seed, Duration::ZERO))
+            .collect();
+        let told = async {
+            while let Some(told) = asked.next().await {
+                if told.is_some() {
+                    return told;
+                }
+            }
+            None
+        };
+        timeout(RESTART_SEED_LIMIT, told).await.ok().flatten()
     }
 
-    async fn watchers_of_seed(&self, seed: SocketAddr) -> Option<ToldWatchers> {
+    async fn watchers_of_seed(&self, seed: SocketAddr, wait: Duration) -> Option<ToldWatchers> {
         let node = &self.context.settings.node;
         let link = Link::connect(seed).await?;
         let call = Call::Watchers {
             name: LongText(node.name.clone()),
             zone: LongText(node.zone.clone()),
-            wait_ms: millis(FIRST_NEWS_WAIT),
+            wait_ms: millis(wait),
         };
         let clock = &self.context.clock;
         let end = clock.instant(clock.now() + SEED_LIMIT);
--- a/crates/spurpier-pipeline/src/homes/mod.rs
+++ b/crates/spurpier-pipeline/src/homes/mod.rs
@@ -160,12 +160,12 @@
 const WATCHED_SUBJECT: &str = "store";
 /// How many nodes follow the store at least, if each zone has one; all do if they are no more.
 const WATCHERS: usize = 8;
-/// How many nodes follow one watcher, about: 200 KB of servers told to each of them take 2.6 s of a
-/// link of 20 Mbit/s, and what a watcher asks of the store is paid once for all of them.
+/// How many nodes follow one watcher, about. Fewer take less time to be told a whole table one after
+/// another, more share the price of what a watcher asks of the store.
 const FOLLOWERS: usize = 32;
 
-/// How many watchers a starting node is told of: what each of 6,100 nodes is told by one of three
-/// then takes a second of a link of 20 Mbit/s.
+/// How many watchers a starting node is told of, so that what a seed tells does not grow with the
+/// fleet.
 const TOLD_WATCHERS: usize = 8;
 
 fn watchers_per_zone(nodes: usize, zones: usize) -> usize {
--- a/crates/spurpier-pipeline/src/ports/store.rs
+++ b/crates/spurpier-pipeline/src/ports/store.rs
@@ -24,8 +24,8 @@
 
 /// How many shards the nodes' entries are spread over.
 ///
-/// A shard takes 200 writes a second one after another, the store 3,200 in all: with as many shards
-/// as use that up, 985 nodes list themselves in 0.3 s and 6,100 in 1.9 s.
+/// All nodes list themselves when the whole system starts. A shard takes some 200 writes a second; as
+/// many shards as this use up what the store takes in all.
 const NODE_SHARDS: u8 = 16;
 
 /// A part of the store whose writes are carried out one after another.
