--- a/crates/spurpier-pipeline/src/directory/mod.rs
+++ b/crates/spurpier-pipeline/src/directory/mod.rs
@@ -74,6 +74,10 @@
         require_starts(&mut read, started);
         let (roster_rows, mut entries) = self.note_read(&mut state, read);
         let changes = state.roster.replace(roster_rows, version);
+        let State {
+            roster, unusable, ..
+        } = &mut *state;
+        unusable.retain(|key, _| roster.version(key) > 0);
         let count = rows.len();
         for change in changes {
             self.apply(&mut state, change, &mut entries, LogServers::Summary);
