Tell of the store's era and of rows that are passed over as outdated

The logs of the incident hold no position of the store: they cannot tell whether changes after its return are told and dropped, or not told at all.

--- a/crates/spurpier-core/src/lib.rs
+++ b/crates/spurpier-core/src/lib.rs
@@ -28,5 +28,6 @@
 pub mod shares;
 pub mod spread;
 pub mod statement;
+pub mod store_version;
 pub mod time;
 pub mod wire;
--- a/crates/spurpier-pipeline/src/follow/mod.rs
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -15,6 +15,7 @@
 
 use rand::RngExt;
 use spurpier_core::retry::Backoff;
+use spurpier_core::store_version::StoreEra;
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
 use tokio::time::Instant;
@@ -98,6 +99,7 @@
         knows_rows: false,
         told_at: Timestamp::ZERO,
         store_clock: StoreClock::default(),
+        era: None,
         passed_over: HashMap::new(),
         changed_at: None,
         is_new: true,
@@ -147,6 +149,8 @@
     /// When the store last told of the table, to this node or to the one that it follows.
     told_at: Timestamp,
     store_clock: StoreClock,
+    /// The era in which the store last told this node of the table.
+    era: Option<StoreEra>,
     passed_over: HashMap<String, Timestamp>,
     /// When the store last told of changes.
     changed_at: Option<Timestamp>,
@@ -242,7 +246,8 @@
     fn take_all(&mut self, rows: &[Row], version: u64, told_at: Timestamp) {
         self.note_absence(told_at);
         let known = &self.context.known_tables;
-        known.replace(self.table, rows, version, told_at);
+        let outdated = known.replace(self.table, rows, version, told_at);
+        self.note_outdated(outdated, version);
         self.sink.replace(rows, version);
         self.knows_rows = true;
         self.note_taken_in(version, told_at);
@@ -252,13 +257,51 @@
         self.note_absence(told_at);
         self.knows_rows = true;
         let known = &self.context.known_tables;
-        known.change(self.table, rows, version, told_at);
+        let outdated = known.change(self.table, rows, version, told_at);
+        self.note_outdated(outdated, version);
         if !rows.is_empty() {
             self.sink.change(rows);
         }
         self.note_taken_in(version, told_at);
     }
 
+    /// Tells of rows as of a version that were passed over.
+    fn note_outdated(&self, rows: usize, version: u64) {
+        if rows == 0 {
+            return;
+        }
+        let context = &self.context;
+        context.metrics.count_outdated_rows(self.table, rows);
+        let now = context.clock.now();
+        if let Some(suppressed) = context.log_budget.take(events::ROWS_OUTDATED, now) {
+            log_event!(
+                events::ROWS_OUTDATED,
+                table = format!("{:?}", self.table),
+                rows = rows,
+                version = version,
+                known_version = context.known_tables.version(self.table),
+                suppressed = suppressed
+            );
+        }
+    }
+
+    /// Takes in the era in which the store has told of the table.
+    fn note_era(&mut self, read: &ReadRows) {
+        let former = self.era.replace(read.era);
+        if former.is_none_or(|former| former == read.era) {
+            return;
+        }
+        log_event!(
+            events::STORE_ERA_CHANGED,
+            table = format!("{:?}", self.table),
+            former_era = former.unwrap_or_default(),
+            former_version = self.context.known_tables.version(self.table),
+            era = read.era,
+            version = read.version,
+            asked_after = format!("{:?}", self.version)
+        );
+    }
+
     /// Takes in that all rows up to a version have been taken in.
     fn note_taken_in(&mut self, version: u64, told_at: Timestamp) {
         if self.table == Table::Servers {
@@ -290,6 +333,7 @@
         let error = match while_moving(call, &progress, end).await {
             Some(Ok(read)) => {
                 self.note_answer();
+                self.note_era(&read);
                 let told_at = self.moment_of(&read, asked_at);
                 let rows = self.sink.told_form(read.rows);
                 let rows = self.sink.whole_table(&rows, true).unwrap_or(rows);
@@ -322,6 +366,7 @@
         match while_moving(call, &progress, end).await {
             Some(Ok(changes)) => {
                 self.note_answer();
+                self.note_era(&changes);
                 let told_at = self.moment_of(&changes, asked_at);
                 let rows = self.sink.told_form(changes.rows);
                 match self.sink.whole_table(&rows, false) {
--- a/crates/spurpier-pipeline/src/known_tables.rs
+++ b/crates/spurpier-pipeline/src/known_tables.rs
@@ -119,8 +119,10 @@
 }
 
 impl KnownTable {
-    /// Takes in the whole table as of a version, but for newer rows that were told ahead of it.
-    fn replace_rows(&mut self, rows: &[Row], version: u64) {
+    /// Takes in the whole table as of a version, but for newer rows that were told ahead of it; tells
+    /// how many of these stand in the place of others.
+    fn replace_rows(&mut self, rows: &[Row], version: u64) -> usize {
+        let mut outdated = 0;
         if self.told_at.is_none() {
             self.remembered_since = version;
         }
@@ -133,7 +135,8 @@
             match replaced.get(&key) {
                 Some(newer) if newer.version >= row.version => {}
                 None if row.version <= version => self.remember_removal(key, version),
-                _ => {
+                told => {
+                    outdated += usize::from(told.is_some());
                     replaced.insert(key, row);
                 }
             }
@@ -143,6 +146,14 @@
         self.changed_at = self.changed_at.max(changed.unwrap_or(0));
         self.rows = replaced;
         self.digest = None;
+        outdated
+    }
+
+    /// Takes in that the store told of the table at `told_at`, as of a version.
+    fn note_told(&mut self, version: u64, told_at: Timestamp) {
+        self.version = self.version.max(version);
+        self.told_before = self.told_at;
+        self.told_at = self.told_at.max(Some(told_at));
     }
 
     /// The digest of the rows.
@@ -160,15 +171,17 @@
             rows: self.rows.clone(),
             ..KnownTable::default()
         };
-        changes.iter().for_each(|row| after.take(row));
+        for row in changes {
+            after.take(row);
+        }
         after.digest()
     }
 
-    /// Takes in a changed row, unless a newer one is known.
-    fn take(&mut self, row: &Row) {
+    /// Takes in a changed row; false if a newer one is known.
+    fn take(&mut self, row: &Row) -> bool {
         let known = self.rows.get(&row.key);
         if known.is_some_and(|known| known.version > row.version) {
-            return;
+            return false;
         }
         self.digest = None;
         if row.gone {
@@ -178,6 +191,7 @@
         } else {
             self.rows.insert(row.key.clone(), row.clone());
         }
+        true
     }
 
     fn remember_removal(&mut self, key: String, version: u64) {
@@ -236,27 +250,28 @@
         }
     }
 
-    /// Takes in a whole table, as the store told it at `told_at`.
-    pub fn replace(&self, table: Table, rows: &[Row], version: u64, told_at: Timestamp) {
+    /// Takes in a whole table, as the store told it at `told_at`; tells how many rows were passed
+    /// over, since newer ones are known.
+    pub fn replace(&self, table: Table, rows: &[Row], version: u64, told_at: Timestamp) -> usize {
         self.update(table, |known| {
-            known.replace_rows(rows, version);
-            known.told_before = known.told_at;
-            known.told_at = known.told_at.max(Some(told_at));
-            known.version = known.version.max(version);
-        });
+            let outdated = known.replace_rows(rows, version);
+            known.note_told(version, told_at);
+            outdated
+        })
     }
 
-    /// Takes in what has changed, if anything has, as the store told it at `told_at`.
-    pub fn change(&self, table: Table, rows: &[Row], version: u64, told_at: Timestamp) {
+    /// Takes in what has changed, if anything has, as the store told it at `told_at`; tells how many
+    /// rows were passed over, since newer ones are known.
+    pub fn change(&self, table: Table, rows: &[Row], version: u64, told_at: Timestamp) -> usize {
         self.update(table, |known| {
+            let mut outdated = 0;
             for row in rows {
-                known.take(row);
+                outdated += usize::from(!known.take(row));
                 known.changed_at = known.changed_at.max(row.version);
             }
-            known.version = known.version.max(version);
-            known.told_before = known.told_at;
-            known.told_at = known.told_at.max(Some(told_at));
-        });
+            known.note_told(version, told_at);
+            outdated
+        })
     }
 
     /// Takes in a row that another node has told ahead of the table's other changes.
@@ -291,20 +306,22 @@
         self.lock()[usize::from(number)].told_before
     }
 
-    fn update(&self, table: Table, change: impl FnOnce(&mut KnownTable)) {
+    fn update<T: Default>(&self, table: Table, change: impl FnOnce(&mut KnownTable) -> T) -> T {
         let Some(number) = table_number(table) else {
-            return;
+            return T::default();
         };
-        let has_changed = {
+        let (changed, has_changed) = {
             let mut tables = self.lock();
             let known = &mut tables[usize::from(number)];
             let before = (known.changed_at, known.told_at.is_some());
-            change(known);
-            (known.changed_at, known.told_at.is_some()) != before
+            let changed = change(known);
+            let has_changed = (known.changed_at, known.told_at.is_some()) != before;
+            (changed, has_changed)
         };
         if has_changed {
             self.changed.send_modify(|count| *count += 1);
         }
+        changed
     }
 
     /// A receiver that is told of changes of any table.
--- a/crates/spurpier-pipeline/src/metrics.rs
+++ b/crates/spurpier-pipeline/src/metrics.rs
@@ -16,7 +16,7 @@
 
 use crate::context::Context;
 use crate::known_tables::FOLLOWED;
-use crate::ports::{Answer, ErrorClass};
+use crate::ports::{Answer, ErrorClass, Table};
 use crate::server::Server;
 
 /// The first bound of the histogram of answer times, in seconds.
@@ -99,6 +99,7 @@
     unknown_regions: Gauge,
     unusable_entries: Family<Kind, Gauge>,
     missed_news: Family<Kind, Counter>,
+    outdated_rows: Family<TableLabels, Counter>,
     table_ages: Family<TableLabels, Gauge>,
 }
 
@@ -131,6 +132,7 @@
             unknown_regions: Gauge::default(),
             unusable_entries: Family::default(),
             missed_news: Family::default(),
+            outdated_rows: Family::default(),
             table_ages: Family::default(),
         };
         metrics.register();
@@ -184,6 +186,8 @@
         registry.register("unusable_entries", text, self.unusable_entries.clone());
         let text = "Questions to other nodes for a table that were of no use, by reason";
         registry.register("missed_news", text, self.missed_news.clone());
+        let text = "Rows of tables that were passed over, since newer ones are known, by table";
+        registry.register("outdated_rows", text, self.outdated_rows.clone());
         let text = "How long ago the store last told of a table, in milliseconds; -1 before it did";
         registry.register("table_age_ms", text, self.table_ages.clone());
     }
@@ -251,6 +255,16 @@
         self.missed_news.get_or_create(&Kind { kind: why }).inc();
     }
 
+    /// Counts rows of a table that were passed over.
+    pub fn count_outdated_rows(&self, table: Table, rows: usize) {
+        let labels = TableLabels {
+            table: format!("{table:?}"),
+        };
+        self.outdated_rows
+            .get_or_create(&labels)
+            .inc_by(rows as u64);
+    }
+
     /// All metrics as text, with the gauges as they are now.
     pub fn text(&self, context: &Context) -> String {
         self.set_gauges(context);
--- a/crates/spurpier-pipeline/src/ports/store.rs
+++ b/crates/spurpier-pipeline/src/ports/store.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use spurpier_core::homes::subject_digest;
+use spurpier_core::store_version::StoreEra;
 
 use crate::progress::Progress;
 
@@ -82,6 +83,8 @@
     pub rows: Vec<Row>,
     /// The store's newest version at that moment.
     pub version: u64,
+    /// The era in which the store told them.
+    pub era: StoreEra,
     /// That moment on the store's steady clock; none if the store does not tell it.
     pub now: Option<Duration>,
 }
@@ -145,6 +148,8 @@
     Refused,
     /// The history that was asked for is gone.
     HistoryGone,
+    /// The store came back from an older copy between two parts of the answer.
+    EraChanged,
     /// No answer, or one that is none: a change may have been made or may be made later.
     Unknown,
 }
@@ -154,6 +159,7 @@
         formatter.write_str(match self {
             StoreError::Refused => "the call was refused",
             StoreError::HistoryGone => "the history is gone",
+            StoreError::EraChanged => "the store came back from an older copy meanwhile",
             StoreError::Unknown => "the call was not answered",
         })
     }
