--- a/crates/spurpier-core/src/directory/roster.rs
+++ b/crates/spurpier-core/src/directory/roster.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use super::Incarnation;
+use crate::store_version::StoreVersion;
 
 /// Where a life of a server serves. It does not change during that life.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -33,7 +34,7 @@
     /// Its key: the server's name.
     pub key: String,
     /// The version of its last change.
-    pub version: u64,
+    pub version: StoreVersion,
     /// What it says.
     pub told: Told,
 }
@@ -62,7 +63,7 @@
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct KnownRow {
-    version: u64,
+    version: StoreVersion,
     told: Told,
 }
 
@@ -95,7 +96,7 @@
 
     /// Takes in the whole table as of a version: what is known and not among the rows is gone, unless
     /// it is newer.
-    pub fn replace(&mut self, rows: Vec<RosterRow>, version: u64) -> Vec<RosterChange> {
+    pub fn replace(&mut self, rows: Vec<RosterRow>, version: StoreVersion) -> Vec<RosterChange> {
         let listed: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
         let is_missing =
             |key: &str, known: &KnownRow| !listed.contains(key) && known.version <= version;
@@ -128,9 +129,11 @@
         }
     }
 
-    /// The version of the newest row that is known under a key; 0 if there is none.
-    pub fn version(&self, key: &str) -> u64 {
-        self.rows.get(key).map_or(0, |known| known.version)
+    /// The version of the newest row that is known under a key; before all others if there is
+    /// none.
+    pub fn version(&self, key: &str) -> StoreVersion {
+        let known = self.rows.get(key);
+        known.map_or(StoreVersion::NONE, |known| known.version)
     }
 
     /// How many servers that can be used tell when they started, and how many do not.
--- a/crates/spurpier-core/src/lead/candidate.rs
+++ b/crates/spurpier-core/src/lead/candidate.rs
@@ -1,5 +1,7 @@
 //! Which server is asked for the lead.
 
+use crate::store_version::StoreVersion;
+
 /// What is known of a server that may lead.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeadCandidate {
@@ -10,7 +12,7 @@
     /// Whether it has left its last messages without an answer.
     pub silent: bool,
     /// The version of its entry.
-    pub version: u64,
+    pub version: StoreVersion,
 }
 
 /// The index of the server to ask for the lead; none if there is none to ask.
--- a/crates/spurpier-core/src/places/cold.rs
+++ b/crates/spurpier-core/src/places/cold.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::quota::{QuotaBound, QuotaRate};
+use crate::store_version::StoreVersion;
 use crate::time::Timestamp;
 
 /// The length of the spans in which requests to a cold server are counted.
@@ -67,14 +68,14 @@
 pub struct Coldness {
     until: Timestamp,
     /// The version of the newest entry.
-    version: u64,
+    version: StoreVersion,
 }
 
 impl Coldness {
     /// Takes in an entry of this version that came now. The time counts from here: how long the
     /// entry was on the way is not known, and a node that counts too long only sends too little.
     /// An entry that is told again changes nothing.
-    pub fn note_entry(&mut self, cold_for: Duration, version: u64, now: Timestamp) {
+    pub fn note_entry(&mut self, cold_for: Duration, version: StoreVersion, now: Timestamp) {
         if version <= self.version {
             return;
         }
@@ -99,6 +100,9 @@
 
 /// Whether servers of a zone that was evacuated until a version of the store must not be used yet:
 /// they may have turned cold while it was, and entries are known only up to an older version.
-pub fn is_entry_outdated(taken_back_at: Option<u64>, entries_known_to: u64) -> bool {
+pub fn is_entry_outdated(
+    taken_back_at: Option<StoreVersion>,
+    entries_known_to: StoreVersion,
+) -> bool {
     taken_back_at.is_some_and(|removal| entries_known_to < removal)
 }
--- a/crates/spurpier-core/src/places/evacuation.rs
+++ b/crates/spurpier-core/src/places/evacuation.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use crate::store_version::StoreVersion;
 use crate::time::Timestamp;
 
 /// For how long the store may hold back a change while it tells that nothing has changed, as in
@@ -52,9 +53,9 @@
     /// When the evacuated zones are closed, by their names.
     closes_at: BTreeMap<String, Timestamp>,
     /// The store's version at which zones were known to be taken back, by their names.
-    taken_back_at: BTreeMap<String, u64>,
+    taken_back_at: BTreeMap<String, StoreVersion>,
     /// The store's version at which the rows were first known.
-    first_version: Option<u64>,
+    first_version: Option<StoreVersion>,
 }
 
 impl Evacuations {
@@ -75,7 +76,7 @@
     pub fn take(
         &mut self,
         zones: &BTreeSet<String>,
-        version: u64,
+        version: StoreVersion,
         told_before: Option<Timestamp>,
     ) -> EvacuationChanges {
         self.first_version.get_or_insert(version);
@@ -103,7 +104,7 @@
     }
 
     /// The store's version at which the rows were first known; none while nothing is known.
-    pub fn first_version(&self) -> Option<u64> {
+    pub fn first_version(&self) -> Option<StoreVersion> {
         self.first_version
     }
 
@@ -132,7 +133,7 @@
     ///
     /// A node that has started since does not know: for it the version counts at which it first knew
     /// the rows. None while nothing is known.
-    pub fn taken_back_at(&self, zone: &str) -> Option<u64> {
+    pub fn taken_back_at(&self, zone: &str) -> Option<StoreVersion> {
         let known = self.taken_back_at.get(zone).copied();
         known.or(self.first_version)
     }
--- a/crates/spurpier-core/src/store_version.rs
+++ b/crates/spurpier-core/src/store_version.rs
@@ -63,6 +63,11 @@
         self.0 & NUMBER_MASK
     }
 
+    /// What a condition names for a row that was not there as of this version.
+    pub const fn absence(self) -> Self {
+        StoreVersion(self.0 & !NUMBER_MASK)
+    }
+
     /// Both in one number, in the same order.
     pub const fn to_bits(self) -> u64 {
         self.0
--- a/crates/spurpier-core/tests/cold.rs
+++ b/crates/spurpier-core/tests/cold.rs
@@ -17,6 +17,7 @@
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use spurpier_core::places::{ColdBound, Coldness, is_entry_outdated};
 use spurpier_core::quota::{Grant, Ledger, Taken};
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 
 const DEFAULT_CASES: u64 = 300;
@@ -164,23 +165,33 @@
     let second = Duration::from_secs(1);
     let mut coldness = Coldness::default();
     assert!(!coldness.is_cold(start));
-    coldness.note_entry(second * 3, 5, start);
+    coldness.note_entry(second * 3, StoreVersion::from_bits(5), start);
     assert!(coldness.is_cold(start + second * 2));
-    coldness.note_entry(second * 3, 5, start + second * 2);
+    coldness.note_entry(second * 3, StoreVersion::from_bits(5), start + second * 2);
     assert!(!coldness.is_cold(start + second * 3));
-    coldness.note_entry(Duration::ZERO, 6, start + second * 3);
-    coldness.note_entry(second * 3, 4, start + second * 3);
+    coldness.note_entry(
+        Duration::ZERO,
+        StoreVersion::from_bits(6),
+        start + second * 3,
+    );
+    coldness.note_entry(second * 3, StoreVersion::from_bits(4), start + second * 3);
     assert!(!coldness.is_cold(start + second * 3));
-    coldness.note_entry(second * 3, 7, start + second * 4);
+    coldness.note_entry(second * 3, StoreVersion::from_bits(7), start + second * 4);
     assert!(coldness.is_cold(start + second * 6));
     assert_eq!(coldness.until(), start + second * 7);
 }
 
 #[test]
 fn servers_of_a_zone_taken_back_wait_for_entries_as_new_as_that() {
-    assert!(!is_entry_outdated(None, 0));
-    assert!(is_entry_outdated(Some(8), 7));
-    assert!(!is_entry_outdated(Some(8), 8));
+    assert!(!is_entry_outdated(None, StoreVersion::from_bits(0)));
+    assert!(is_entry_outdated(
+        Some(StoreVersion::from_bits(8)),
+        StoreVersion::from_bits(7)
+    ));
+    assert!(!is_entry_outdated(
+        Some(StoreVersion::from_bits(8)),
+        StoreVersion::from_bits(8)
+    ));
 }
 
 #[test]
--- a/crates/spurpier-core/tests/cold_model/mod.rs
+++ b/crates/spurpier-core/tests/cold_model/mod.rs
@@ -8,6 +8,7 @@
     Authority, AuthorityChoice, Bucket, Budget, Grant, Ledger, QuotaRate, Stamp, Taken, VOTE_LIFE,
     Want,
 };
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 
 /// How many nodes there are, ranked in the order of their numbers.
@@ -363,7 +364,10 @@
     fn serve_clients(&mut self, node: usize) {
         let known = &self.nodes[node];
         let is_outdated = self.breakage != Breakage::OldEntries
-            && is_entry_outdated(known.taken_back_at, known.entries_known_to);
+            && is_entry_outdated(
+                known.taken_back_at.map(StoreVersion::from_bits),
+                StoreVersion::from_bits(known.entries_known_to),
+            );
         if is_outdated || known.taken_back_at == Some(u64::MAX) {
             return;
         }
@@ -494,7 +498,8 @@
         for (_, is_entry, version) in come {
             if is_entry {
                 self.entries_known_to = version;
-                self.coldness.note_entry(COLD_FOR, version - 1, now);
+                self.coldness
+                    .note_entry(COLD_FOR, StoreVersion::from_bits(version - 1), now);
             } else {
                 self.taken_back_at = Some(version);
             }
@@ -505,7 +510,11 @@
 /// A node that knows the server to be cold.
 fn new_node(life: u64, version: u64, now: Timestamp, per_second: f64) -> Node {
     let mut coldness = Coldness::default();
-    coldness.note_entry(Duration::from_secs(3_600), version, now);
+    coldness.note_entry(
+        Duration::from_secs(3_600),
+        StoreVersion::from_bits(version),
+        now,
+    );
     let rate = BOUND.rate(per_second).expect("more than one request");
     Node {
         ledger: Ledger::default(),
--- a/crates/spurpier-core/tests/evacuations.rs
+++ b/crates/spurpier-core/tests/evacuations.rs
@@ -6,6 +6,7 @@
 use proptest::prelude::*;
 use proptest::sample::select;
 use spurpier_core::places::{Evacuations, HELD_BACK, Phase, WAY_MARGIN};
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 
 const BOUND: Duration = Duration::from_millis(5_000);
@@ -22,8 +23,8 @@
 /// A node that was told at 10 s that nothing is evacuated, and then that `a` is.
 fn told_of_a() -> Evacuations {
     let mut known = Evacuations::new(BOUND);
-    known.take(&zones(&[]), 1, None);
-    let changes = known.take(&zones(&["a"]), 2, Some(at(10_000)));
+    known.take(&zones(&[]), StoreVersion::from_bits(1), None);
+    let changes = known.take(&zones(&["a"]), StoreVersion::from_bits(2), Some(at(10_000)));
     assert_eq!(changes.evacuated, ["a"]);
     known
 }
@@ -39,14 +40,18 @@
 #[test]
 fn a_node_that_starts_later_closes_at_once() {
     let mut known = Evacuations::new(BOUND);
-    known.take(&zones(&["a"]), 7, None);
+    known.take(&zones(&["a"]), StoreVersion::from_bits(7), None);
     assert_eq!(known.phase("a", at(1)), Phase::Closed);
 }
 
 #[test]
 fn a_row_that_is_told_again_does_not_put_the_closing_off() {
     let mut known = told_of_a();
-    let changes = known.take(&zones(&["a", "b"]), 3, Some(at(13_000)));
+    let changes = known.take(
+        &zones(&["a", "b"]),
+        StoreVersion::from_bits(3),
+        Some(at(13_000)),
+    );
     assert_eq!(changes.evacuated, ["b"]);
     assert_eq!(known.phase("a", at(13_500)), Phase::Closed);
     assert_eq!(known.phase("b", at(13_500)), Phase::Leaving);
@@ -55,12 +60,20 @@
 #[test]
 fn a_zone_that_is_taken_back_is_open_and_keeps_the_version() {
     let mut known = told_of_a();
-    assert_eq!(known.taken_back_at("a"), Some(1), "it may have been before");
-    let changes = known.take(&zones(&[]), 9, Some(at(20_000)));
+    assert_eq!(
+        known.taken_back_at("a"),
+        Some(StoreVersion::from_bits(1)),
+        "it may have been before"
+    );
+    let changes = known.take(&zones(&[]), StoreVersion::from_bits(9), Some(at(20_000)));
     assert_eq!(changes.taken_back, ["a"]);
     assert_eq!(known.phase("a", at(20_000)), Phase::Open);
-    assert_eq!(known.taken_back_at("a"), Some(9));
-    known.take(&zones(&["a"]), 12, Some(at(30_000)));
+    assert_eq!(known.taken_back_at("a"), Some(StoreVersion::from_bits(9)));
+    known.take(
+        &zones(&["a"]),
+        StoreVersion::from_bits(12),
+        Some(at(30_000)),
+    );
     assert_eq!(known.phase("a", at(33_499)), Phase::Leaving);
     assert_eq!(known.phase("a", at(33_500)), Phase::Closed);
 }
@@ -204,7 +217,8 @@
         }
         let before = self.known.map(|(_, told_at)| at(told_at));
         let zones = &self.history[told.version].zones;
-        self.node.take(zones, told.version as u64, before);
+        self.node
+            .take(zones, StoreVersion::from_bits(told.version as u64), before);
         let told_at = self.known.map_or(0, |(_, known)| known).max(told.told_at);
         self.known = Some((told.version, told_at));
     }
--- a/crates/spurpier-core/tests/incarnation_model/mod.rs
+++ b/crates/spurpier-core/tests/incarnation_model/mod.rs
@@ -9,6 +9,7 @@
 use spurpier_core::directory::{Incarnation, Place, Roster, RosterChange, RosterRow, Told};
 use spurpier_core::lead::{Candidate, LeadKnowledge, Proof, Succession, choose_successor};
 use spurpier_core::position::Position;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 
 const SERVERS: usize = 3;
@@ -250,14 +251,14 @@
     /// Whether the row that the node knows of a server is that of its present life.
     fn is_told(&self, server: usize) -> bool {
         let version = self.roster.version(&name(server));
-        self.writers.get(&version) == Some(&self.servers[server].born)
+        self.writers.get(&version.to_bits()) == Some(&self.servers[server].born)
     }
 
     fn write_row(&mut self, server: usize, told: Told) {
         self.version += 1;
         let row = RosterRow {
             key: name(server),
-            version: self.version,
+            version: StoreVersion::from_bits(self.version),
             told,
         };
         self.table.insert(row.key.clone(), row.clone());
@@ -266,7 +267,8 @@
 
     fn deliver(&mut self, mut row: RosterRow) {
         if self.breakage == Breakage::NoVersions {
-            row.version = self.roster.version(&row.key) + 1;
+            let known = self.roster.version(&row.key).to_bits();
+            row.version = StoreVersion::from_bits(known + 1);
         }
         let change = self.roster.take(row);
         self.take_change(change);
@@ -275,7 +277,9 @@
     fn read_table(&mut self) {
         let rows = self.table.values();
         let rows = rows.filter(|row| row.told != Told::Removed).cloned();
-        let changes = self.roster.replace(rows.collect(), self.version);
+        let changes = self
+            .roster
+            .replace(rows.collect(), StoreVersion::from_bits(self.version));
         for change in changes {
             self.take_change(change);
         }
--- a/crates/spurpier-core/tests/incarnations.rs
+++ b/crates/spurpier-core/tests/incarnations.rs
@@ -19,6 +19,7 @@
 use spurpier_core::directory::{Incarnation, Place, Roster, RosterChange, RosterRow, Told};
 use spurpier_core::lead::Succession;
 use spurpier_core::position::Position;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::wire::encode_text;
 
 const DEFAULT_CASES: u64 = 400;
@@ -119,7 +120,7 @@
 fn row(version: u64, told: Told) -> RosterRow {
     RosterRow {
         key: "i-1".to_owned(),
-        version,
+        version: StoreVersion::from_bits(version),
         told,
     }
 }
--- a/crates/spurpier-core/tests/lead.rs
+++ b/crates/spurpier-core/tests/lead.rs
@@ -10,6 +10,7 @@
 };
 use spurpier_core::membership::NodeKey;
 use spurpier_core::position::Position;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 
 fn at(millis: u64) -> Timestamp {
@@ -421,7 +422,7 @@
         proved,
         claims,
         silent,
-        version,
+        version: StoreVersion::from_bits(version),
     }
 }
 
--- a/crates/spurpier-pipeline/src/configuration/mod.rs
+++ b/crates/spurpier-pipeline/src/configuration/mod.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use spurpier_core::places::AllowedRegions;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_events::log_event;
 
 use self::check::TenantFinding;
@@ -184,7 +185,7 @@
 }
 
 impl RowSink for ConfigurationSink {
-    fn replace(&mut self, _rows: &[Row], _version: u64) {
+    fn replace(&mut self, _rows: &[Row], _version: StoreVersion) {
         self.put_known_into_force();
     }
 
@@ -196,6 +197,20 @@
         true
     }
 
+    /// The operator writes the newest configuration again after the store's return; until then the
+    /// store, and nodes that start meanwhile, tell an older one.
+    fn newest(&self, told: Vec<Row>) -> Vec<Row> {
+        let known = self.0.known_tables.rows(Table::Configuration);
+        if rows::document_version(&told) >= rows::document_version(&known) {
+            return told;
+        }
+        let evacuated = told.into_iter().filter(rows::is_evacuated);
+        let settings = known.into_iter().filter(|row| !rows::is_evacuated(row));
+        let mut newest: Vec<Row> = evacuated.chain(settings).collect();
+        newest.sort_by(|one, other| one.key.cmp(&other.key));
+        newest
+    }
+
     /// The store's row of the configuration tells all of it; evacuations are told one by one.
     fn whole_table(&self, told: &[Row], is_whole: bool) -> Option<Vec<Row>> {
         if told.is_empty() && !is_whole {
@@ -234,7 +249,7 @@
 
     /// The configuration among rows that the store has told, and its row's version; rows of other
     /// kinds may stand beside it.
-    fn told_configuration(&self, told: &[Row]) -> Option<(Configuration, u64)> {
+    fn told_configuration(&self, told: &[Row]) -> Option<(Configuration, StoreVersion)> {
         let entries = &self.0.entries;
         let others = told
             .iter()
--- a/crates/spurpier-pipeline/src/configuration/rows.rs
+++ b/crates/spurpier-pipeline/src/configuration/rows.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use nanoserde::{DeBin, SerBin};
 use spurpier_core::places::AllowedRegions;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::wire::{List, LongText};
 
 use crate::follow::note_news;
@@ -64,7 +65,7 @@
 ///
 /// `known` is in the order of the keys, and so is what is returned. Of two routes for one database
 /// the first one holds.
-pub fn split(configuration: &Configuration, version: u64, known: &[Row]) -> Vec<Row> {
+pub fn split(configuration: &Configuration, version: StoreVersion, known: &[Row]) -> Vec<Row> {
     let mut rows: Vec<Row> = configuration.routes.iter().map(route_row).collect();
     let tenants = configuration.tenants.iter().flatten();
     rows.extend(tenants.map(tenant_row));
@@ -80,7 +81,7 @@
     Row {
         key,
         value: Bytes::from(value.serialize_bin()),
-        version: 0,
+        version: StoreVersion::NONE,
         gone: false,
     }
 }
@@ -154,6 +155,13 @@
     })
 }
 
+/// The version of the configuration that rows hold; none if they hold none that can be read.
+pub fn document_version(rows: &[Row]) -> Option<u64> {
+    let settings = rows.iter().find(|row| row.key == SETTINGS_KEY)?;
+    let settings = SettingsRow::deserialize_bin(&settings.value).ok()?;
+    Some(settings.version)
+}
+
 /// The rows of evacuated zones after the store has told of its rows: of all of them if `is_whole`,
 /// else of those that have changed. `known` are those from before; `zone_of` reads the zone of a row
 /// of the store.
--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -7,6 +7,7 @@
 
 use spurpier_core::lead::{Distance, Succession, holds_lease};
 use spurpier_core::retry::{RetryBudget, RetryBudgetSettings};
+use spurpier_core::store_version::StoreEra;
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
 use tokio::sync::{Notify, Semaphore, watch};
@@ -63,6 +64,9 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// What log lines name as the teller of the store's own answers.
+pub const TOLD_BY_STORE: &str = "store";
+
 /// What all sessions and tasks of a node share.
 pub struct Context {
     /// The node's settings.
@@ -105,6 +109,8 @@
     pub store_lost: AtomicBool,
     /// When the store last answered again after it had been away from this node.
     pub store_regained_at: Mutex<Option<Timestamp>>,
+    /// The store's latest era that is known.
+    pub store_era: watch::Sender<StoreEra>,
     /// Whether the servers have been read once.
     pub directory_known: watch::Sender<bool>,
     /// Whether this node took the promotion duty and has not seen another holder since.
@@ -262,6 +268,24 @@
         self.store_lost.store(false, Ordering::Relaxed);
     }
 
+    /// Takes in the era in which the store was told of; false if a later one is known.
+    pub fn note_store_era(&self, era: StoreEra, told_by: &str) -> bool {
+        let is_later = self.store_era.send_if_modified(|known| {
+            let is_later = era > *known;
+            *known = era.max(*known);
+            is_later
+        });
+        if is_later {
+            log_event!(events::STORE_ERA_KNOWN, era = era, told_by = told_by);
+        }
+        era >= self.era()
+    }
+
+    /// The store's latest era that is known.
+    pub fn era(&self) -> StoreEra {
+        *self.store_era.borrow()
+    }
+
     /// Takes in that the store has not answered.
     pub fn note_store_failure(&self) {
         self.store_lost.store(true, Ordering::Relaxed);
--- a/crates/spurpier-pipeline/src/directory/mod.rs
+++ b/crates/spurpier-pipeline/src/directory/mod.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use spurpier_core::directory::{Place, Roster, RosterChange, RosterRow, Told};
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
 
@@ -47,7 +48,7 @@
 /// A server's entry and the version of its row.
 struct Listed {
     entry: ServerEntry,
-    version: u64,
+    version: StoreVersion,
 }
 
 /// A row as it was read.
@@ -67,7 +68,7 @@
     }
 
     /// Takes in the whole table as of a version.
-    fn take_all(&self, rows: &[Row], version: u64) {
+    fn take_all(&self, rows: &[Row], version: StoreVersion) {
         let mut state = self.lock();
         let mut read: Vec<ReadRow<'_>> = rows.iter().map(ReadRow::new).collect();
         let started = starts_told(read.iter().filter_map(|read| read.read.as_ref()));
@@ -77,7 +78,7 @@
         let State {
             roster, unusable, ..
         } = &mut *state;
-        unusable.retain(|key, _| roster.version(key) > 0);
+        unusable.retain(|key, _| roster.version(key) > StoreVersion::NONE);
         let count = rows.len();
         for change in changes {
             self.apply(&mut state, change, &mut entries, LogServers::Summary);
@@ -228,7 +229,7 @@
         }
     }
 
-    fn add(&self, group: &Group, entry: ServerEntry, version: u64, log: LogServers) {
+    fn add(&self, group: &Group, entry: ServerEntry, version: StoreVersion, log: LogServers) {
         let context = &self.context;
         if log == LogServers::Each && context.homes_of(&group.name).is_own {
             log_event!(
@@ -266,7 +267,7 @@
         group.add(Arc::new(Server::new(listing, distance, pool, clock)));
     }
 
-    fn update(&self, group: &Group, server: &Server, entry: ServerEntry, version: u64) {
+    fn update(&self, group: &Group, server: &Server, entry: ServerEntry, version: StoreVersion) {
         let (draining, role) = (entry.draining, entry.role);
         server.pool.cold_gate().note_entry(entry.cold_for, version);
         let begins_to_leave = {
@@ -322,7 +323,7 @@
         regained_at.map_or(now, |regained_at| now.max(regained_at + RETURN_LIMIT))
     }
 
-    fn log_unusable(&self, key: &str, version: u64, why: UnusableEntry) {
+    fn log_unusable(&self, key: &str, version: StoreVersion, why: UnusableEntry) {
         let now = self.context.clock.now();
         let budget = &self.context.log_budget;
         if let Some(suppressed) = budget.take(events::SERVER_ENTRY_UNUSABLE, now) {
@@ -414,7 +415,7 @@
             .collect()
     }
 
-    fn replace(&mut self, rows: &[Row], version: u64) {
+    fn replace(&mut self, rows: &[Row], version: StoreVersion) {
         self.0.take_all(rows, version);
         self.0.context.directory_known.send_replace(true);
     }
--- a/crates/spurpier-pipeline/src/duty/holder.rs
+++ b/crates/spurpier-pipeline/src/duty/holder.rs
@@ -5,12 +5,14 @@
 use bytes::Bytes;
 use nanoserde::{DeBin, SerBin};
 use spurpier_core::lead::{DutyRow, Succession};
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
 use tokio::time::timeout;
 
 use super::successor::Successor;
-use crate::context::Context;
+use crate::context::{Context, TOLD_BY_STORE};
+use crate::era::transact_in_era;
 use crate::events;
 use crate::group::Group;
 use crate::membership::succession_key;
@@ -34,8 +36,8 @@
 pub struct KnownDuty {
     /// The row; none if there is none.
     pub row: Option<DutyRow>,
-    /// Its version; 0 if there is none.
-    pub version: u64,
+    /// Its version; number 0 of the store's era if there is none.
+    pub version: StoreVersion,
 }
 
 /// A node that told the store that it has yielded.
@@ -64,7 +66,7 @@
     /// The group's new lead, and the decision's token.
     pub succession: Succession,
     /// The version of the succession's row.
-    pub version: u64,
+    pub version: StoreVersion,
     /// When the decision was sent to the store.
     pub sent_at: Timestamp,
     /// When the store had acknowledged it.
@@ -90,11 +92,14 @@
         return None;
     };
     context.note_store_answer();
+    if !context.note_store_era(read.version.era(), TOLD_BY_STORE) {
+        return None;
+    }
     let holder = read.rows.iter().find(|row| row.key == KEY);
-    let holder = holder.map_or_else(KnownDuty::default, |row| KnownDuty {
-        row: DutyRow::deserialize_bin(&row.value).ok(),
-        version: row.version,
-    });
+    let holder = KnownDuty {
+        row: holder.and_then(|row| DutyRow::deserialize_bin(&row.value).ok()),
+        version: holder.map_or(read.version.absence(), |row| row.version),
+    };
     if let Some(row) = &holder.row {
         context.note_duty_holder(&row.holder);
     }
@@ -154,7 +159,8 @@
     successor: &Successor,
     deposed: Option<&Server>,
 ) -> Option<Decision> {
-    let next = DutyRow::next(known.row.as_ref(), &context.settings.node.name);
+    let own_name = &context.settings.node.name;
+    let next = DutyRow::next(known.row.as_ref(), own_name);
     let succession = Succession {
         token: next.token,
         successor: successor.server.incarnation.clone(),
@@ -233,7 +239,11 @@
 }
 
 /// Makes a transaction; its version, or none if it was not made or the store does not tell.
-async fn make(context: &Context, conditions: Vec<Condition>, writes: Vec<Write>) -> Option<u64> {
+async fn make(
+    context: &Context,
+    conditions: Vec<Condition>,
+    writes: Vec<Write>,
+) -> Option<StoreVersion> {
     match transact(context, conditions, writes).await? {
         TransactOutcome::Made(version) => Some(version),
         TransactOutcome::Conflict(_) => None,
@@ -245,10 +255,11 @@
     conditions: Vec<Condition>,
     writes: Vec<Write>,
 ) -> Option<TransactOutcome> {
-    let call = context.store.transact(Transaction {
+    let transaction = Transaction {
         conditions,
         writes,
         shard: Shard::Duty,
-    });
+    };
+    let call = transact_in_era(context, transaction);
     timeout(CALL_LIMIT, call).await.ok()?.ok()
 }
--- a/crates/spurpier-pipeline/src/duty/messages.rs
+++ b/crates/spurpier-pipeline/src/duty/messages.rs
@@ -5,6 +5,7 @@
 use nanoserde::{DeBin, DeBinErr, SerBin};
 use spurpier_core::lead::{Succession, SuccessorDetails};
 use spurpier_core::position::Position;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::wire::{List, LongText, decode_text, encode_text};
 
 /// Says that no proof of lead is known.
@@ -49,7 +50,7 @@
         /// The succession.
         succession: NamedSuccession,
         /// The version of its row.
-        version: u64,
+        version: StoreVersion,
         /// What else is told of the successor.
         details: SuccessorDetails,
     },
--- a/crates/spurpier-pipeline/src/duty/round.rs
+++ b/crates/spurpier-pipeline/src/duty/round.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use nanoserde::SerBin;
 use spurpier_core::lead::{RoundState, Succession, YieldRound};
+use spurpier_core::store_version::StoreVersion;
 use spurpier_events::log_event;
 
 use super::holder::{
@@ -213,7 +214,12 @@
 
 /// Takes in a succession that the deciding node has told of, and tells whether this node may say
 /// that it has yielded: not while its own order for the group is under way.
-pub fn yield_to(context: &Context, group: &Group, succession: &Succession, version: u64) -> bool {
+pub fn yield_to(
+    context: &Context,
+    group: &Group,
+    succession: &Succession,
+    version: StoreVersion,
+) -> bool {
     if group.is_ordering() {
         return false;
     }
--- /dev/null
+++ b/crates/spurpier-pipeline/src/era.rs
@@ -0,0 +1,28 @@
+//! Transactions that hold only within one era of the store.
+
+use std::sync::Arc;
+
+use crate::context::{Context, TOLD_BY_STORE};
+use crate::ports::{StoreError, TransactOutcome, Transaction};
+
+/// Makes a transaction whose conditions were seen in one era of the store.
+///
+/// # Errors
+///
+/// Those of the call; [`StoreError::EraChanged`] if it was made in another era, in which a condition
+/// may have held of other contents: what has become of it is not known.
+pub async fn transact_in_era(
+    context: &Context,
+    transaction: Transaction,
+) -> Result<TransactOutcome, StoreError> {
+    let expected = transaction.conditions.first();
+    let expected = expected.map(|condition| condition.version.era());
+    let outcome = Arc::clone(&context.store).transact(transaction).await?;
+    if let TransactOutcome::Made(version) = &outcome {
+        context.note_store_era(version.era(), TOLD_BY_STORE);
+        if expected.is_some_and(|expected| expected != version.era()) {
+            return Err(StoreError::EraChanged);
+        }
+    }
+    Ok(outcome)
+}
--- a/crates/spurpier-pipeline/src/events.rs
+++ b/crates/spurpier-pipeline/src/events.rs
@@ -14,8 +14,9 @@
     TABLE_HANDED_ON = 6014, "table_handed_on", Info, "the store did not answer at the start; a table was taken from another node", "see the platform's store";
     NEWS_MISSED = 6015, "news_missed", Info, "another node told nothing of a table in time, or nothing that is new enough; the next one is asked, or the store", "none if rare; with received_bytes above 0 and why unanswered, the link between the nodes is too slow for the table";
     CONFIGURATION_REFUSED = 6016, "configuration_refused", Warn, "a newer configuration has faults; the former one stays in force", "mend what the findings name, by their place, and publish it again";
-    STORE_ERA_CHANGED = 6017, "store_era_changed", Warn, "the store has come back from an older copy: it has lost the newest writes and gives their versions out again", "none; what nodes wrote since the copy is lost";
+    STORE_ERA_CHANGED = 6017, "store_era_changed", Warn, "the store has come back from an older copy: the table begins anew in a later era, in which versions are given out again", "none; rows_above tells how many rows were known under greater numbers than the store's present one";
     ROWS_OUTDATED = 6018, "rows_outdated", Warn, "rows that were told are passed over, since newer ones are known", "none if rare; a node that is told so again and again knows rows of a history that the store has lost";
+    STORE_ERA_KNOWN = 6019, "store_era_known", Info, "the store is in this era, or in a later one than was known", "none";
     SERVER_ADDED = 6020, "server_added", Info, "the directory lists a new server", "none";
     SERVER_LEAVING = 6021, "server_leaving", Info, "a server is draining or gone from the directory and is given no new work", "none if planned";
     LEAD_FOUND = 6022, "lead_found", Info, "a server has proved that it leads its group", "none";
--- a/crates/spurpier-pipeline/src/follow/mod.rs
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -15,12 +15,12 @@
 
 use rand::RngExt;
 use spurpier_core::retry::Backoff;
-use spurpier_core::store_version::StoreEra;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
 use tokio::time::Instant;
 
-use crate::context::Context;
+use crate::context::{Context, TOLD_BY_STORE};
 use crate::events;
 use crate::homes::PeerNode;
 use crate::known_tables::News;
@@ -56,7 +56,7 @@
 /// What is done with the rows of a table.
 pub trait RowSink: Send {
     /// Takes in all rows as of a version of the store; those that are not among them are gone.
-    fn replace(&mut self, rows: &[Row], version: u64);
+    fn replace(&mut self, rows: &[Row], version: StoreVersion);
 
     /// Takes in rows that have changed or are gone, in the order of their changes.
     fn change(&mut self, rows: &[Row]);
@@ -73,6 +73,12 @@
         None
     }
 
+    /// The rows to go on with, after all of them were told: those, unless the store came back from a
+    /// copy that is older than what is known.
+    fn newest(&self, told: Vec<Row>) -> Vec<Row> {
+        told
+    }
+
     /// Whether the rows that nodes tell each other are not the store's own, so that two nodes may
     /// give one row different versions.
     ///
@@ -99,7 +105,6 @@
         knows_rows: false,
         told_at: Timestamp::ZERO,
         store_clock: StoreClock::default(),
-        era: None,
         passed_over: HashMap::new(),
         changed_at: None,
         is_new: true,
@@ -113,7 +118,7 @@
 
 /// Gives the rows of a whole table that are news the version from which on they are; the others
 /// keep that from which on they are known. `known` is in the order of its keys.
-pub fn note_news(rows: &mut [Row], known: &[Row], version: u64) {
+pub fn note_news(rows: &mut [Row], known: &[Row], version: StoreVersion) {
     for row in rows {
         let same = known.binary_search_by(|known| known.key.cmp(&row.key));
         let same = same.ok().map(|index| &known[index]);
@@ -143,14 +148,12 @@
     lost: bool,
     store_again_at: Timestamp,
     /// The store's version up to which all changes are known; none if all must be read anew.
-    version: Option<u64>,
+    version: Option<StoreVersion>,
     /// Whether the table was ever read, or told by another node.
     knows_rows: bool,
     /// When the store last told of the table, to this node or to the one that it follows.
     told_at: Timestamp,
     store_clock: StoreClock,
-    /// The era in which the store last told this node of the table.
-    era: Option<StoreEra>,
     passed_over: HashMap<String, Timestamp>,
     /// When the store last told of changes.
     changed_at: Option<Timestamp>,
@@ -195,7 +198,7 @@
         }
         match self.version {
             Some(version) => self.ask_changes(version).await,
-            None if self.is_told_from_start => self.ask_changes(0).await,
+            None if self.is_told_from_start => self.ask_changes(StoreVersion::NONE).await,
             None => self.read().await,
         }
     }
@@ -208,7 +211,11 @@
             return Vec::new();
         }
         let watchers = self.context.homes.watchers();
-        let follows_store = watchers.is_own && (!self.lost || now >= self.store_again_at);
+        let is_back = self
+            .version
+            .is_some_and(|version| version.era() < self.context.era());
+        let may_ask = !self.lost || is_back || now >= self.store_again_at;
+        let follows_store = watchers.is_own && may_ask;
         if follows_store {
             return Vec::new();
         }
@@ -222,9 +229,10 @@
 
     /// Takes in what another node tells, unless it knows less than this node. That holds also while
     /// this node reads the table anew: rows that it knows to be gone would come back for good.
-    fn take_news(&mut self, news: News, told_at: Timestamp) -> TakenNews {
+    fn take_news(&mut self, news: News, told_at: Timestamp, told_by: &str) -> TakenNews {
         let known = &self.context.known_tables;
-        if news.version < known.version(self.table) {
+        let is_present = self.context.note_store_era(news.version.era(), told_by);
+        if !is_present || news.version < known.version(self.table) {
             return TakenNews::Behind;
         }
         let mut rows: Vec<Row> = news.rows.0.into_iter().map(|row| row.0).collect();
@@ -232,7 +240,7 @@
             if self.sink.derives_rows() {
                 note_news(&mut rows, &known.rows(self.table), news.version);
             }
-            self.take_all(&rows, news.version, told_at);
+            self.take_all(rows, news.version, told_at, told_by);
             return TakenNews::Taken;
         }
         if self.sink.derives_rows() && known.digest_after(self.table, &rows) != news.digest {
@@ -243,17 +251,25 @@
         TakenNews::Taken
     }
 
-    fn take_all(&mut self, rows: &[Row], version: u64, told_at: Timestamp) {
+    fn take_all(
+        &mut self,
+        rows: Vec<Row>,
+        version: StoreVersion,
+        told_at: Timestamp,
+        told_by: &str,
+    ) {
         self.note_absence(told_at);
+        self.note_era(version, told_by);
+        let rows = self.sink.newest(rows);
         let known = &self.context.known_tables;
-        let outdated = known.replace(self.table, rows, version, told_at);
+        let outdated = known.replace(self.table, &rows, version, told_at);
         self.note_outdated(outdated, version);
-        self.sink.replace(rows, version);
+        self.sink.replace(&rows, version);
         self.knows_rows = true;
         self.note_taken_in(version, told_at);
     }
 
-    fn take_changes(&mut self, rows: &[Row], version: u64, told_at: Timestamp) {
+    fn take_changes(&mut self, rows: &[Row], version: StoreVersion, told_at: Timestamp) {
         self.note_absence(told_at);
         self.knows_rows = true;
         let known = &self.context.known_tables;
@@ -266,7 +282,7 @@
     }
 
     /// Tells of rows as of a version that were passed over.
-    fn note_outdated(&self, rows: usize, version: u64) {
+    fn note_outdated(&self, rows: usize, version: StoreVersion) {
         if rows == 0 {
             return;
         }
@@ -285,25 +301,25 @@
         }
     }
 
-    /// Takes in the era in which the store has told of the table.
-    fn note_era(&mut self, read: &ReadRows) {
-        let former = self.era.replace(read.era);
-        if former.is_none_or(|former| former == read.era) {
+    /// Tells of the store's return, if it is a later era in which the table is told now.
+    fn note_era(&self, version: StoreVersion, told_by: &str) {
+        let known = &self.context.known_tables;
+        let former = known.version(self.table);
+        if !self.knows_rows || former.era() == version.era() {
             return;
         }
         log_event!(
             events::STORE_ERA_CHANGED,
             table = format!("{:?}", self.table),
-            former_era = former.unwrap_or_default(),
-            former_version = self.context.known_tables.version(self.table),
-            era = read.era,
-            version = read.version,
-            asked_after = format!("{:?}", self.version)
+            former = former,
+            present = version,
+            rows_above = known.count_numbers_above(self.table, version),
+            told_by = told_by
         );
     }
 
     /// Takes in that all rows up to a version have been taken in.
-    fn note_taken_in(&mut self, version: u64, told_at: Timestamp) {
+    fn note_taken_in(&mut self, version: StoreVersion, told_at: Timestamp) {
         if self.table == Table::Servers {
             self.context.cold.note_entries_known_to(version);
         }
@@ -319,7 +335,7 @@
         }
     }
 
-    fn note_told(&mut self, version: u64, told_at: Timestamp) {
+    fn note_told(&mut self, version: StoreVersion, told_at: Timestamp) {
         self.version = self.version.max(Some(version));
         self.told_at = self.told_at.max(told_at);
     }
@@ -333,11 +349,16 @@
         let error = match while_moving(call, &progress, end).await {
             Some(Ok(read)) => {
                 self.note_answer();
-                self.note_era(&read);
+                if !self
+                    .context
+                    .note_store_era(read.version.era(), TOLD_BY_STORE)
+                {
+                    return self.note_failure(StoreError::EraChanged).await;
+                }
                 let told_at = self.moment_of(&read, asked_at);
                 let rows = self.sink.told_form(read.rows);
                 let rows = self.sink.whole_table(&rows, true).unwrap_or(rows);
-                self.take_all(&rows, read.version, told_at);
+                self.take_all(rows, read.version, told_at, TOLD_BY_STORE);
                 return;
             }
             Some(Err(error)) => error,
@@ -350,7 +371,7 @@
     }
 
     /// Waits for changes after a version and takes them in.
-    async fn ask_changes(&mut self, version: u64) {
+    async fn ask_changes(&mut self, after: StoreVersion) {
         // A store that was just lost is asked without a wait, so that its return is seen, and one
         // that was not asked before, so that its clock is known well.
         let wait = if self.lost || !self.store_clock.is_known() {
@@ -361,16 +382,35 @@
         let asked_at = self.context.clock.now();
         let progress = Progress::new();
         let store = &self.context.store;
-        let call = store.changes(self.table, version, wait, &progress);
+        let call = store.changes(self.table, after, wait, &progress);
         let end = Instant::now() + wait + CHANGES_SLACK;
-        match while_moving(call, &progress, end).await {
+        let mut era = self.context.store_era.subscribe();
+        let answered = tokio::select! {
+            answered = while_moving(call, &progress, end) => answered,
+            // The sender lives as long as the context.
+            _ = era.wait_for(|era| after != StoreVersion::NONE && *era > after.era()) => {
+                self.version = None;
+                return;
+            }
+        };
+        match answered {
             Some(Ok(changes)) => {
                 self.note_answer();
-                self.note_era(&changes);
+                if !self
+                    .context
+                    .note_store_era(changes.version.era(), TOLD_BY_STORE)
+                {
+                    return self.note_failure(StoreError::EraChanged).await;
+                }
+                if after != StoreVersion::NONE && after.era() != changes.version.era() {
+                    // The number has been given out again: what changed below it is not told.
+                    self.version = None;
+                    return;
+                }
                 let told_at = self.moment_of(&changes, asked_at);
                 let rows = self.sink.told_form(changes.rows);
                 match self.sink.whole_table(&rows, false) {
-                    Some(rows) => self.take_all(&rows, changes.version, told_at),
+                    Some(rows) => self.take_all(rows, changes.version, told_at, TOLD_BY_STORE),
                     None => self.take_changes(&rows, changes.version, told_at),
                 }
                 if self.is_due_to_pause(&rows) {
--- a/crates/spurpier-pipeline/src/follow/peer.rs
+++ b/crates/spurpier-pipeline/src/follow/peer.rs
@@ -114,15 +114,20 @@
         let connect_until = clock.now() + CONNECT_LIMIT;
         let link = context.links.link(peer.address, clock, connect_until);
         let link = link.await.ok_or(Missed::Unreachable)?;
-        match self.news_of_link(&link, received_bytes).await {
+        match self.news_of_link(&link, &peer.name, received_bytes).await {
             // All of the table is asked for now.
-            Err(Missed::Diverged) => self.news_of_link(&link, received_bytes).await,
+            Err(Missed::Diverged) => self.news_of_link(&link, &peer.name, received_bytes).await,
             taken => taken,
         }
     }
 
     /// As [`Self::news_of_peer`], over an open connection.
-    async fn news_of_link(&mut self, link: &Link, received_bytes: &mut u64) -> Result<(), Missed> {
+    async fn news_of_link(
+        &mut self,
+        link: &Link,
+        told_by: &str,
+        received_bytes: &mut u64,
+    ) -> Result<(), Missed> {
         let clock = &self.context.clock;
         // What is known grows stale at this moment: the answer must come before.
         let fresh_for = (self.told_at + self.patience.stale()).since(clock.now());
@@ -138,7 +143,7 @@
         let news = answered?;
         let told_at = news.told_at(asked_at);
         let age = self.context.clock.now().since(told_at);
-        match self.take_news(news, told_at) {
+        match self.take_news(news, told_at, told_by) {
             TakenNews::Taken => {}
             TakenNews::Behind => return Err(Missed::Behind),
             TakenNews::Diverged => return Err(Missed::Diverged),
@@ -266,6 +271,6 @@
             rows = news.rows.0.len()
         );
         let told_at = news.told_at(asked_at);
-        self.take_news(news, told_at) == TakenNews::Taken
+        self.take_news(news, told_at, &seed.to_string()) == TakenNews::Taken
     }
 }
--- a/crates/spurpier-pipeline/src/forward/messages.rs
+++ b/crates/spurpier-pipeline/src/forward/messages.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use nanoserde::{DeBin, DeBinErr, SerBin};
 use spurpier_core::position::Position;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::wire::{
     List, LongText, decode_address, decode_bytes, decode_text, encode_address, encode_bytes,
     encode_text,
@@ -26,7 +27,7 @@
 use crate::unit::{PreparedUse, Work};
 
 /// The version of the messages; nodes of different versions do not forward to each other.
-pub const VERSION: u16 = 7;
+pub const VERSION: u16 = 8;
 
 /// A message between a caller and the node that runs its calls.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
@@ -118,7 +119,7 @@
         /// The table's number.
         table: u8,
         /// The store's version up to which the caller knows the table; none if it knows nothing.
-        version: Option<u64>,
+        version: Option<StoreVersion>,
         /// For how long the runner waits for news, in milliseconds.
         wait_ms: u32,
     },
--- a/crates/spurpier-pipeline/src/forward/server.rs
+++ b/crates/spurpier-pipeline/src/forward/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use spurpier_core::lead::OwnCommit;
+use spurpier_core::store_version::StoreVersion;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use tokio::task::AbortHandle;
@@ -244,7 +245,7 @@
         &self,
         number: u64,
         table: u8,
-        version: Option<u64>,
+        version: Option<StoreVersion>,
         wait: Duration,
     ) -> Reply {
         let called_at = self.context.clock.now();
--- a/crates/spurpier-pipeline/src/homes/mod.rs
+++ b/crates/spurpier-pipeline/src/homes/mod.rs
@@ -13,6 +13,7 @@
 use spurpier_core::homes::{rendezvous_score, subject_digest};
 use spurpier_core::lead::{Distance, LEASE, LEASE_MARGIN};
 use spurpier_core::membership::NodeKey;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 use spurpier_core::wire::List;
 use tokio::sync::watch;
@@ -49,8 +50,8 @@
 /// stands there.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct OwnWrite {
-    /// The version of the row that it replaces; 0 if there was none.
-    replaced: u64,
+    /// The version of the row that it replaces; number 0 if there was none.
+    replaced: StoreVersion,
     /// The groups that it tells of.
     leases: LeaseScope,
 }
@@ -72,7 +73,7 @@
     }
 
     /// Takes in the version of this node's own row: writes that replace an older one are over.
-    fn note_own_version(&mut self, version: u64) {
+    fn note_own_version(&mut self, version: StoreVersion) {
         self.own_writes.retain(|write| write.replaced >= version);
     }
 
@@ -257,7 +258,7 @@
     /// Takes in that this node is about to write its entry with these groups, in the place of the
     /// row of a version: until the list shows that the write is over, this node uses the primary
     /// of no other group.
-    pub fn note_own_write(&self, replaced: u64, leases: &LeaseScope) {
+    pub fn note_own_write(&self, replaced: StoreVersion, leases: &LeaseScope) {
         let leases = leases.clone();
         let write = OwnWrite { replaced, leases };
         let mut inner = self.lock();
@@ -279,7 +280,7 @@
     ///
     /// A list that is read by pages may show a row that is newer than the page before: until the
     /// changes between are known too, the entry allows nothing.
-    pub fn may_hold_lease(&self, group: &str, version: u64) -> bool {
+    pub fn may_hold_lease(&self, group: &str, version: StoreVersion) -> bool {
         let inner = self.lock();
         let listed = inner.nodes.as_ref();
         let listed = listed.and_then(|nodes| nodes.get(&self.own_name));
@@ -308,7 +309,7 @@
     }
 
     /// The name of the listed node at an address, and the version of its row.
-    pub fn listed_at(&self, address: SocketAddr) -> Option<(String, u64)> {
+    pub fn listed_at(&self, address: SocketAddr) -> Option<(String, StoreVersion)> {
         let inner = self.lock();
         let mut nodes = inner.nodes.as_ref()?.iter();
         let (name, node) = nodes.find(|(_, node)| node.entry.address == address)?;
--- a/crates/spurpier-pipeline/src/known_tables.rs
+++ b/crates/spurpier-pipeline/src/known_tables.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use nanoserde::{DeBin, DeBinErr, SerBin};
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 use spurpier_core::wire::{List, decode_bytes, decode_long_text, encode_bytes, encode_long_text};
 use tokio::sync::watch;
@@ -41,7 +42,7 @@
     /// Whether it is the whole table, so that rows which are not in it are gone.
     pub whole: bool,
     /// The store's version of it.
-    pub version: u64,
+    pub version: StoreVersion,
     /// How long ago the store last told of the table when this was told, in milliseconds.
     pub age_ms: u32,
     /// How long the call was held before this was told, in milliseconds.
@@ -93,7 +94,7 @@
         Ok(ToldRow(Row {
             key: decode_long_text(offset, bytes)?.to_owned(),
             value: Bytes::copy_from_slice(decode_bytes(offset, bytes)?),
-            version: u64::de_bin(offset, bytes)?,
+            version: StoreVersion::de_bin(offset, bytes)?,
             gone: bool::de_bin(offset, bytes)?,
         }))
     }
@@ -103,17 +104,17 @@
 struct KnownTable {
     rows: BTreeMap<String, Row>,
     /// The store's version up to which all changes are known.
-    version: u64,
+    version: StoreVersion,
     /// When the store last told of it, on this node's clock; none before it did.
     told_at: Option<Timestamp>,
     /// The same before the last news of it.
     told_before: Option<Timestamp>,
     /// The version of the newest change up to that version.
-    changed_at: u64,
+    changed_at: StoreVersion,
     /// The last removed rows, oldest first.
     removed: VecDeque<Row>,
     /// The version from which on all removals are remembered.
-    remembered_since: u64,
+    remembered_since: StoreVersion,
     /// The digest of the rows; none if they have changed since it was computed.
     digest: Option<u64>,
 }
@@ -121,9 +122,10 @@
 impl KnownTable {
     /// Takes in the whole table as of a version, but for newer rows that were told ahead of it; tells
     /// how many of these stand in the place of others.
-    fn replace_rows(&mut self, rows: &[Row], version: u64) -> usize {
+    fn replace_rows(&mut self, rows: &[Row], version: StoreVersion) -> usize {
         let mut outdated = 0;
-        if self.told_at.is_none() {
+        if self.told_at.is_none() || version.era() != self.version.era() {
+            // What came and went before in this era is not known.
             self.remembered_since = version;
         }
         let mut replaced: BTreeMap<String, Row> = rows
@@ -143,14 +145,27 @@
         }
         let changed = replaced.values().map(|row| row.version);
         let changed = changed.filter(|changed| *changed <= version).max();
-        self.changed_at = self.changed_at.max(changed.unwrap_or(0));
+        self.changed_at = self.changed_at.max(changed.unwrap_or_default());
         self.rows = replaced;
         self.digest = None;
         outdated
     }
 
+    /// Whether there is news for a node that knows the table up to a version. One of a later era is
+    /// to hear at once that this node is behind.
+    fn has_news(&self, version: StoreVersion) -> bool {
+        self.changed_at > version || self.version.era() != version.era()
+    }
+
+    /// How many rows have a greater number than a version of another era.
+    fn count_numbers_above(&self, version: StoreVersion) -> usize {
+        let rows = self.rows.values();
+        rows.filter(|row| row.version.number() > version.number())
+            .count()
+    }
+
     /// Takes in that the store told of the table at `told_at`, as of a version.
-    fn note_told(&mut self, version: u64, told_at: Timestamp) {
+    fn note_told(&mut self, version: StoreVersion, told_at: Timestamp) {
         self.version = self.version.max(version);
         self.told_before = self.told_at;
         self.told_at = self.told_at.max(Some(told_at));
@@ -194,7 +209,7 @@
         true
     }
 
-    fn remember_removal(&mut self, key: String, version: u64) {
+    fn remember_removal(&mut self, key: String, version: StoreVersion) {
         self.changed_at = self.changed_at.max(version);
         self.removed.push_back(Row {
             key,
@@ -210,9 +225,9 @@
     }
 
     /// What has changed since a version, in the order of the changes; none if it is not all
-    /// remembered.
-    fn since(&self, version: u64) -> Option<Vec<ToldRow>> {
-        if version < self.remembered_since {
+    /// remembered. Nobody knows which rows of a former era another node knows.
+    fn since(&self, version: StoreVersion) -> Option<Vec<ToldRow>> {
+        if version < self.remembered_since || version.era() != self.version.era() {
             return None;
         }
         let rows = self.rows.values().chain(&self.removed);
@@ -252,7 +267,13 @@
 
     /// Takes in a whole table, as the store told it at `told_at`; tells how many rows were passed
     /// over, since newer ones are known.
-    pub fn replace(&self, table: Table, rows: &[Row], version: u64, told_at: Timestamp) -> usize {
+    pub fn replace(
+        &self,
+        table: Table,
+        rows: &[Row],
+        version: StoreVersion,
+        told_at: Timestamp,
+    ) -> usize {
         self.update(table, |known| {
             let outdated = known.replace_rows(rows, version);
             known.note_told(version, told_at);
@@ -262,7 +283,13 @@
 
     /// Takes in what has changed, if anything has, as the store told it at `told_at`; tells how many
     /// rows were passed over, since newer ones are known.
-    pub fn change(&self, table: Table, rows: &[Row], version: u64, told_at: Timestamp) -> usize {
+    pub fn change(
+        &self,
+        table: Table,
+        rows: &[Row],
+        version: StoreVersion,
+        told_at: Timestamp,
+    ) -> usize {
         self.update(table, |known| {
             let mut outdated = 0;
             for row in rows {
@@ -280,9 +307,15 @@
     }
 
     /// The store's version up to which all changes of a table are known.
-    pub fn version(&self, table: Table) -> u64 {
+    pub fn version(&self, table: Table) -> StoreVersion {
+        let number = table_number(table).map(usize::from);
+        number.map_or(StoreVersion::NONE, |number| self.lock()[number].version)
+    }
+
+    /// How many known rows of a table have a greater number than a version of another era.
+    pub fn count_numbers_above(&self, table: Table, version: StoreVersion) -> usize {
         let number = table_number(table).map(usize::from);
-        number.map_or(0, |number| self.lock()[number].version)
+        number.map_or(0, |number| self.lock()[number].count_numbers_above(version))
     }
 
     /// All rows of a table, in the order of their keys.
@@ -313,10 +346,13 @@
         let (changed, has_changed) = {
             let mut tables = self.lock();
             let known = &mut tables[usize::from(number)];
-            let before = (known.changed_at, known.told_at.is_some());
+            let state = |known: &KnownTable| {
+                let era = known.version.era();
+                (known.changed_at, era, known.told_at.is_some())
+            };
+            let before = state(known);
             let changed = change(known);
-            let has_changed = (known.changed_at, known.told_at.is_some()) != before;
-            (changed, has_changed)
+            (changed, state(known) != before)
         };
         if has_changed {
             self.changed.send_modify(|count| *count += 1);
@@ -330,12 +366,12 @@
     }
 
     /// Whether a table has changed since a version, or is known to this node and not to the caller.
-    pub fn has_news(&self, number: u8, version: Option<u64>) -> bool {
+    pub fn has_news(&self, number: u8, version: Option<StoreVersion>) -> bool {
         let tables = self.lock();
         let Some(known) = tables.get(usize::from(number)) else {
             return false;
         };
-        known.told_at.is_some() && version.is_none_or(|version| known.changed_at > version)
+        known.told_at.is_some() && version.is_none_or(|version| known.has_news(version))
     }
 
     /// The digest that a table's rows will have after these changes.
@@ -349,7 +385,7 @@
     pub fn news(
         &self,
         number: u8,
-        version: Option<u64>,
+        version: Option<StoreVersion>,
         called_at: Timestamp,
         now: Timestamp,
     ) -> Option<News> {
--- a/crates/spurpier-pipeline/src/lib.rs
+++ b/crates/spurpier-pipeline/src/lib.rs
@@ -11,6 +11,7 @@
 mod context;
 mod directory;
 mod duty;
+mod era;
 pub mod events;
 mod follow;
 mod forward;
--- a/crates/spurpier-pipeline/src/membership.rs
+++ b/crates/spurpier-pipeline/src/membership.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use nanoserde::{DeBin, SerBin};
 use spurpier_core::lead::Succession;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_events::log_event;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
@@ -13,6 +14,7 @@
 use crate::context::Context;
 use crate::directory::{share_connections, share_connections_of};
 use crate::duty::yield_by_store;
+use crate::era::transact_in_era;
 use crate::events;
 use crate::follow::RowSink;
 use crate::forward::LostNodes;
@@ -147,7 +149,7 @@
 }
 
 /// Waits until the list shows this node's entry of a version, for a while.
-async fn await_told(context: &Context, changes: &mut watch::Receiver<u64>, version: u64) {
+async fn await_told(context: &Context, changes: &mut watch::Receiver<u64>, version: StoreVersion) {
     let told = async {
         loop {
             let listing = context.homes.own_listing();
@@ -169,9 +171,10 @@
     context: &Context,
     listing: Option<&ListedNode>,
     entry: NodeEntry,
-) -> Option<u64> {
+) -> Option<StoreVersion> {
     let key = context.settings.node.name.clone();
-    let version = listing.map_or(0, |listing| listing.version);
+    let known = context.known_tables.version(Table::Cluster);
+    let version = listing.map_or(known.absence(), |listing| listing.version);
     context.homes.note_own_write(version, &entry.leases);
     let condition = Condition {
         table: Table::Cluster,
@@ -217,12 +220,13 @@
     conditions: Vec<Condition>,
     write: Write,
     node: &str,
-) -> Option<u64> {
-    let call = context.store.transact(Transaction {
+) -> Option<StoreVersion> {
+    let transaction = Transaction {
         conditions,
         writes: vec![write],
         shard: Shard::of_node(node),
-    });
+    };
+    let call = transact_in_era(context, transaction);
     match timeout(WRITE_LIMIT, call).await {
         Ok(Ok(TransactOutcome::Made(version))) => Some(version),
         Ok(Ok(TransactOutcome::Conflict(_)) | Err(_)) | Err(_) => None,
@@ -267,7 +271,7 @@
 }
 
 impl RowSink for ClusterSink {
-    fn replace(&mut self, rows: &[Row], _version: u64) {
+    fn replace(&mut self, rows: &[Row], _version: StoreVersion) {
         let (nodes, successions): (Vec<&Row>, Vec<&Row>) =
             rows.iter().partition(|row| is_node_row(row));
         let nodes = nodes.into_iter();
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -9,6 +9,7 @@
 
 use error_stack::{Report, ResultExt};
 use spurpier_core::retry::RetryBudget;
+use spurpier_core::store_version::StoreEra;
 use spurpier_events::log_event;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, Semaphore, mpsc, watch};
@@ -202,6 +203,7 @@
             links,
             store_lost: AtomicBool::new(false),
             store_regained_at: Mutex::default(),
+            store_era: watch::Sender::new(StoreEra::UNTOLD),
             directory_known: watch::Sender::new(false),
             holds_duty: AtomicBool::new(false),
             lease_wanted: Notify::new(),
--- a/crates/spurpier-pipeline/src/node_entry.rs
+++ b/crates/spurpier-pipeline/src/node_entry.rs
@@ -6,6 +6,7 @@
 use nanoserde::{DeBin, DeBinErr, SerBin};
 use spurpier_core::lead::RankedNode;
 use spurpier_core::membership::NodeKey;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::wire::{
     List, LongText, decode_address, decode_text, encode_address, encode_text,
 };
@@ -61,7 +62,7 @@
     /// The entry.
     pub entry: NodeEntry,
     /// The version of its row.
-    pub version: u64,
+    pub version: StoreVersion,
 }
 
 impl NodeEntry {
--- a/crates/spurpier-pipeline/src/places/cold.rs
+++ b/crates/spurpier-pipeline/src/places/cold.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use spurpier_core::places::{ColdBound, Coldness, is_entry_outdated};
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
 use tokio::sync::watch;
@@ -108,8 +109,9 @@
     }
 
     /// Takes in up to which version of the store the servers' entries are known and taken in.
-    pub fn note_entries_known_to(&self, version: u64) {
-        self.entries_known_to.fetch_max(version, Ordering::Release);
+    pub fn note_entries_known_to(&self, version: StoreVersion) {
+        self.entries_known_to
+            .fetch_max(version.to_bits(), Ordering::Release);
     }
 
     /// How much may be sent to a cold server of a group; none if that is not bounded.
@@ -186,7 +188,7 @@
     }
 
     /// Takes in an entry of the server that has just come.
-    pub fn note_entry(self: &Arc<Self>, cold_for: Duration, version: u64) {
+    pub fn note_entry(self: &Arc<Self>, cold_for: Duration, version: StoreVersion) {
         let now = self.shared.clock.now();
         let was_cold = self.is_cold(now);
         let until = {
@@ -240,7 +242,8 @@
     /// Whether the server may have turned cold while its zone was evacuated, and no entry is known
     /// that is as new as the end of that.
     fn awaits_entry(&self) -> bool {
-        let known_to = self.shared.entries_known_to.load(Ordering::Acquire);
+        let known_to = &self.shared.entries_known_to;
+        let known_to = StoreVersion::from_bits(known_to.load(Ordering::Acquire));
         is_entry_outdated(self.zone_gate.taken_back_at(), known_to)
     }
 
--- a/crates/spurpier-pipeline/src/places/evacuations.rs
+++ b/crates/spurpier-pipeline/src/places/evacuations.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use spurpier_core::places::Evacuations;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
 use tokio::sync::watch;
@@ -42,7 +43,12 @@
 
     /// Takes in which zones are evacuated as of a version of the store; `told_before` is up to when
     /// it had told of the rows as they were known before.
-    pub fn take(&self, zones: &BTreeSet<String>, version: u64, told_before: Option<Timestamp>) {
+    pub fn take(
+        &self,
+        zones: &BTreeSet<String>,
+        version: StoreVersion,
+        told_before: Option<Timestamp>,
+    ) {
         let mut inner = self.lock();
         let is_first = inner.known.first_version().is_none();
         let changes = inner.known.take(zones, version, told_before);
@@ -100,7 +106,7 @@
     /// that has turned cold since that it is warm.
     fn note_taken_back(&mut self) {
         for (zone, gate) in &self.gates {
-            gate.set_taken_back_at(self.known.taken_back_at(zone).unwrap_or(0));
+            gate.set_taken_back_at(self.known.taken_back_at(zone).unwrap_or_default());
         }
     }
 
@@ -110,7 +116,7 @@
         }
         let gate = Arc::new(ZoneGate::new(clock.clone()));
         gate.set(self.known.closes_at(zone));
-        gate.set_taken_back_at(self.known.taken_back_at(zone).unwrap_or(0));
+        gate.set_taken_back_at(self.known.taken_back_at(zone).unwrap_or_default());
         self.gates.insert(zone.to_owned(), Arc::clone(&gate));
         gate
     }
--- a/crates/spurpier-pipeline/src/places/gate.rs
+++ b/crates/spurpier-pipeline/src/places/gate.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use spurpier_core::places::Phase;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 
 use crate::clock::Clock;
@@ -20,7 +21,8 @@
     clock: Clock,
     /// When it closes, in microseconds of the clock.
     closes_at: AtomicU64,
-    /// The store's version as of which the zone was last known to be taken back; 0 before any.
+    /// The bits of the store's version as of which the zone was last known to be taken back; 0 before
+    /// any.
     taken_back_at: AtomicU64,
 }
 
@@ -41,15 +43,16 @@
     }
 
     /// Takes in the store's version as of which the zone was last known to be taken back.
-    pub fn set_taken_back_at(&self, version: u64) {
-        self.taken_back_at.store(version, Ordering::Release);
+    pub fn set_taken_back_at(&self, version: StoreVersion) {
+        self.taken_back_at
+            .store(version.to_bits(), Ordering::Release);
     }
 
     /// The store's version up to which the servers' entries must be known before a server of the
     /// zone is used that may have turned cold; none while nothing is known of evacuations.
-    pub fn taken_back_at(&self) -> Option<u64> {
-        let version = self.taken_back_at.load(Ordering::Acquire);
-        (version > 0).then_some(version)
+    pub fn taken_back_at(&self) -> Option<StoreVersion> {
+        let version = StoreVersion::from_bits(self.taken_back_at.load(Ordering::Acquire));
+        (version > StoreVersion::NONE).then_some(version)
     }
 
     /// For how long something may still be sent; none if the zone is not evacuated.
--- a/crates/spurpier-pipeline/src/ports/store.rs
+++ b/crates/spurpier-pipeline/src/ports/store.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use spurpier_core::homes::subject_digest;
-use spurpier_core::store_version::StoreEra;
+use spurpier_core::store_version::StoreVersion;
 
 use crate::progress::Progress;
 
@@ -71,7 +71,7 @@
     /// Its value; empty if it is gone.
     pub value: Bytes,
     /// The version of its last change.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Whether it was removed.
     pub gone: bool,
 }
@@ -82,9 +82,7 @@
     /// The rows.
     pub rows: Vec<Row>,
     /// The store's newest version at that moment.
-    pub version: u64,
-    /// The era in which the store told them.
-    pub era: StoreEra,
+    pub version: StoreVersion,
     /// That moment on the store's steady clock; none if the store does not tell it.
     pub now: Option<Duration>,
 }
@@ -117,8 +115,8 @@
     pub table: Table,
     /// Its key.
     pub key: String,
-    /// Its version; 0 means that there must be no such row.
-    pub version: u64,
+    /// Its version, or number 0 of the era in which it was seen that there is no such row.
+    pub version: StoreVersion,
 }
 
 /// Changes of rows of one shard, in any tables, made together under conditions.
@@ -135,8 +133,9 @@
 /// How a transaction ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TransactOutcome {
-    /// It was made, with this version.
-    Made(u64),
+    /// It was made, with this version. In another era than that of its conditions it may have met
+    /// rows of the same numbers and other contents.
+    Made(StoreVersion),
     /// A condition did not hold; nothing was made.
     Conflict(Vec<Row>),
 }
@@ -181,7 +180,7 @@
     fn changes(
         &self,
         table: Table,
-        after: u64,
+        after: StoreVersion,
         wait: Duration,
         progress: &Progress,
     ) -> BoxFuture<'static, Result<ReadRows, StoreError>>;
--- a/crates/spurpier-pipeline/src/server/mod.rs
+++ b/crates/spurpier-pipeline/src/server/mod.rs
@@ -10,6 +10,7 @@
 use spurpier_core::directory::Incarnation;
 use spurpier_core::lead::{Distance, ServerLoad};
 use spurpier_core::places::Phase;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 
 pub use self::connection::{ExchangeError, OpenError, ServerConnection, Values};
@@ -28,7 +29,7 @@
     /// The entry.
     pub entry: ServerEntry,
     /// The version of its row.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Since when it was seen to be draining or gone; a moment to come if its entry may return.
     pub leaving_since: Option<Timestamp>,
     /// Whether the entry is gone.
--- a/crates/spurpier-pipeline/tests/fleet_spread.rs
+++ b/crates/spurpier-pipeline/tests/fleet_spread.rs
@@ -6,6 +6,7 @@
 
 use proptest::prelude::*;
 use spurpier_core::directory::Incarnation;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 use spurpier_pipeline::homes::Homes;
 use spurpier_pipeline::node_entry::{LeaseScope, ListedNode, NodeEntry};
@@ -65,7 +66,13 @@
             leaving: false,
             leases: LeaseScope::default(),
         };
-        (name(number), ListedNode { entry, version: 1 })
+        (
+            name(number),
+            ListedNode {
+                entry,
+                version: StoreVersion::from_bits(1),
+            },
+        )
     };
     (0..size).map(listed).collect()
 }
@@ -163,7 +170,7 @@
     let row = Row {
         key: "i-7f3a91c2".to_owned(),
         value: vec![b'x'; 250].into(),
-        version: 9,
+        version: StoreVersion::from_bits(9),
         gone: false,
     };
     server_rows::told_form(&Entries(read.clone()), row)
@@ -201,14 +208,14 @@
     fn nodes_tell_servers_as_the_store_does_in_a_third_of_the_bytes(entry in server()) {
         let read = Ok(entry);
         let row = told(&read);
-        prop_assert_eq!(row.version, 9);
+        prop_assert_eq!(row.version, StoreVersion::from_bits(9));
         prop_assert!(row.value.len() <= 250 / 3, "{} bytes", row.value.len());
         prop_assert_eq!(server_rows::read(&row), read);
     }
 
     #[test]
     fn no_bytes_upset_the_decoder_of_told_rows(value in prop::collection::vec(any::<u8>(), 0..80)) {
-        let row = Row { key: "i-1".to_owned(), value: value.into(), version: 1, gone: false };
+        let row = Row { key: "i-1".to_owned(), value: value.into(), version: StoreVersion::from_bits(1), gone: false };
         let _ = server_rows::read(&row);
     }
 }
--- a/crates/spurpier-pipeline/tests/homes.rs
+++ b/crates/spurpier-pipeline/tests/homes.rs
@@ -7,6 +7,7 @@
 use spurpier_core::homes::subject_digest;
 use spurpier_core::lead::{Distance, RankedNode, homes_per_zone, rank_homes};
 use spurpier_core::membership::NodeKey;
+use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 use spurpier_pipeline::homes::{ChosenNodes, Homes, PeerNode};
 use spurpier_pipeline::node_entry::{LeaseScope, ListedNode, NodeEntry};
@@ -74,7 +75,10 @@
                 is_all: false,
             },
         };
-        ListedNode { entry, version: 1 }
+        ListedNode {
+            entry,
+            version: StoreVersion::from_bits(1),
+        }
     }
 }
 
