Give no token out twice: those of a later era of the store are above all of former ones

A store that comes back from an older copy has lost the newest row of the duty. The next decision took the same token again, by another node and for another server; the promotion service refuses only lower ones, so that two orders could pass under one token. Tokens now hold the store's era above a count of 2^40 decisions, decided once where the next row is made.

--- a/crates/spurpier-core/src/lead/duty.rs
+++ b/crates/spurpier-core/src/lead/duty.rs
@@ -10,6 +10,7 @@
 
 use nanoserde::{DeBin, SerBin};
 
+use crate::store_version::StoreEra;
 use crate::time::Timestamp;
 
 /// How long a holder may leave a node without an answer before the node takes the duty over.
@@ -18,6 +19,9 @@
 /// Longer than a decision waits for the leases of nodes that do not answer.
 const DECISION_PATIENCE: Duration = Duration::from_secs(13);
 
+/// The bits of a token that count decisions within an era of the store.
+const COUNT_BITS: u32 = 40;
+
 /// The row of the duty.
 #[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
 pub struct DutyRow {
@@ -28,11 +32,14 @@
 }
 
 impl DutyRow {
-    /// The row of the next decision by a node.
-    pub fn next(current: Option<&DutyRow>, holder: &str) -> Self {
+    /// The row of the next decision by a node, made in an era of the store. A store that comes back
+    /// from an older copy has lost the newest tokens: none of a later era may equal one of them.
+    pub fn next(current: Option<&DutyRow>, holder: &str, era: StoreEra) -> Self {
+        let first_of_era = era.number() << COUNT_BITS;
+        let newest = current.map_or(0, |row| row.token);
         DutyRow {
             holder: holder.to_owned(),
-            token: current.map_or(0, |row| row.token) + 1,
+            token: newest.max(first_of_era) + 1,
         }
     }
 }
--- a/crates/spurpier-core/tests/lead.rs
+++ b/crates/spurpier-core/tests/lead.rs
@@ -10,7 +10,7 @@
 };
 use spurpier_core::membership::NodeKey;
 use spurpier_core::position::Position;
-use spurpier_core::store_version::StoreVersion;
+use spurpier_core::store_version::{StoreEra, StoreVersion};
 use spurpier_core::time::Timestamp;
 
 fn at(millis: u64) -> Timestamp {
@@ -355,11 +355,25 @@
     );
 }
 
+#[test]
+fn a_token_of_a_later_era_is_above_those_that_the_store_has_lost() {
+    let era = |number| StoreEra::new(number).expect("a small number");
+    let mut lost = DutyRow::next(None, "a", era(1));
+    for _ in 0..1_000 {
+        lost = DutyRow::next(Some(&lost), "a", era(1));
+    }
+    let without_row = DutyRow::next(None, "b", era(2));
+    assert!(without_row.token > lost.token);
+    let second = DutyRow::next(Some(&without_row), "b", era(2));
+    assert!(second.token > without_row.token);
+    assert!(DutyRow::next(Some(&second), "b", era(3)).token > second.token);
+}
+
 #[test]
 fn each_decision_has_a_higher_token() {
-    let first = DutyRow::next(None, "a");
-    let second = DutyRow::next(Some(&first), "a");
-    let third = DutyRow::next(Some(&second), "b");
+    let first = DutyRow::next(None, "a", StoreEra::UNTOLD);
+    let second = DutyRow::next(Some(&first), "a", StoreEra::UNTOLD);
+    let third = DutyRow::next(Some(&second), "b", StoreEra::UNTOLD);
     assert_eq!((first.token, second.token, third.token), (1, 2, 3));
     assert_eq!(third.holder, "b");
 }
--- a/crates/spurpier-pipeline/src/duty/holder.rs
+++ b/crates/spurpier-pipeline/src/duty/holder.rs
@@ -160,7 +160,7 @@
     deposed: Option<&Server>,
 ) -> Option<Decision> {
     let own_name = &context.settings.node.name;
-    let next = DutyRow::next(known.row.as_ref(), own_name);
+    let next = DutyRow::next(known.row.as_ref(), own_name, known.version.era());
     let succession = Succession {
         token: next.token,
         successor: successor.server.incarnation.clone(),
