Ask for a decision whom the store has lost as a holder of leases

A decision on a primary asks the nodes whose entries name the group. After a return the list is that of the copy: a node that registered later, and does not know of the return yet, would not be asked, would use the old primary on and acknowledge what is to be lost. A decision that was stored in a former era is void: the store may have lost it.

a_registration_that_the_store_has_lost_is_asked_until_its_lease_has_ended failed with the mechanism taken out (only one of three nodes is asked). Left open: a node that listed itself for the first time after the last news before the loss is known to nobody.

--- a/crates/spurpier-pipeline/src/duty/round.rs
+++ b/crates/spurpier-pipeline/src/duty/round.rs
@@ -89,9 +89,12 @@
     }
 
     /// Waits until the successor may be ordered to lead; the order must leave at once. None if a
-    /// newer decision is known, or the store does not tell.
+    /// newer decision is known, if the store may have lost this one, or if it does not tell.
     pub async fn await_order(&mut self) -> Option<OrderUnderWay<'a>> {
         loop {
+            if self.context.era() != self.decision.version.era() {
+                return None;
+            }
             let now = self.context.clock.now();
             match self.round.state(self.group.token(), now) {
                 RoundState::Void => return None,
--- a/crates/spurpier-pipeline/src/homes/mod.rs
+++ b/crates/spurpier-pipeline/src/homes/mod.rs
@@ -13,7 +13,7 @@
 use spurpier_core::homes::{rendezvous_score, subject_digest};
 use spurpier_core::lead::{Distance, LEASE, LEASE_MARGIN};
 use spurpier_core::membership::NodeKey;
-use spurpier_core::store_version::StoreVersion;
+use spurpier_core::store_version::{StoreEra, StoreVersion};
 use spurpier_core::time::Timestamp;
 use spurpier_core::wire::List;
 use tokio::sync::watch;
@@ -34,18 +34,39 @@
     own: NodeEntry,
     /// The listed nodes; none before the list was read.
     nodes: Option<BTreeMap<String, ListedNode>>,
+    /// The store's era in which the list was last told.
+    era: StoreEra,
     /// The listed nodes that are not about to end, and this one, by their ranks.
     fleet: Fleet,
     /// The nodes that follow the store.
     watchers: Option<Arc<ChosenNodes>>,
     /// The nodes that count tenants' operations, by whom they count for, in their order.
     authorities: HashMap<Scope, Arc<Vec<PeerNode>>>,
-    /// Nodes that were taken off the list although they did not leave, and when that was seen.
-    taken_off: BTreeMap<String, (NodeEntry, Timestamp)>,
+    /// Entries that were taken off the list, or replaced in a later era of the store.
+    former: BTreeMap<String, FormerEntry>,
     /// Writes of this node's own entry that the list does not show to be over.
     own_writes: Vec<OwnWrite>,
 }
 
+/// An entry that is listed no more, of a node that may still hold leases.
+#[derive(Debug, Clone)]
+struct FormerEntry {
+    entry: NodeEntry,
+    /// When it was seen that it is not listed.
+    since: Timestamp,
+    /// Whether the store has come back from an older copy: the node may have registered for more
+    /// groups than are known here, and the list has lost that.
+    of_lost_era: bool,
+}
+
+impl FormerEntry {
+    /// Whether the node may hold the lease of a group.
+    fn may_hold(&self, group: &str, now: Timestamp) -> bool {
+        let has_ended = now.since(self.since) >= LEASES_END;
+        !has_ended && (self.of_lost_era || self.entry.leases.contains(group))
+    }
+}
+
 /// A write of this node's own entry, which may be carried out as long as the row that it replaces
 /// stands there.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -64,10 +85,11 @@
             own_name: own_name.to_owned(),
             own: own.clone(),
             nodes: None,
+            era: StoreEra::UNTOLD,
             fleet,
             watchers: None,
             authorities: HashMap::new(),
-            taken_off: BTreeMap::new(),
+            former: BTreeMap::new(),
             own_writes: Vec::new(),
         }
     }
@@ -89,13 +111,42 @@
             Some(node) => nodes.insert(name.clone(), node.clone()),
             None => nodes.remove(&name),
         };
-        let before = before.map(|before| before.entry);
-        let after = node.map(|node| node.entry);
-        self.rank(&name, before.as_ref(), after.as_ref());
-        if after.is_some() {
-            self.taken_off.remove(&name);
-        } else if let Some(before) = before.filter(|before| !before.leaving) {
-            self.taken_off.insert(name, (before, now));
+        let after = node.as_ref().map(|node| &node.entry);
+        self.rank(&name, before.as_ref().map(|before| &before.entry), after);
+        self.note_former(name, before, node.as_ref(), now);
+    }
+
+    /// Keeps what a node was listed with, as long as it may hold leases by that.
+    fn note_former(
+        &mut self,
+        name: String,
+        before: Option<ListedNode>,
+        after: Option<&ListedNode>,
+        now: Timestamp,
+    ) {
+        let era = after.map_or(self.era, |after| after.version.era());
+        let of_lost_era = before
+            .as_ref()
+            .is_some_and(|before| before.version.era() < era);
+        let is_listed_on = after.is_some() && !of_lost_era;
+        if is_listed_on {
+            if self
+                .former
+                .get(&name)
+                .is_some_and(|former| !former.of_lost_era)
+            {
+                self.former.remove(&name);
+            }
+            return;
+        }
+        if let Some(before) = before.filter(|before| of_lost_era || !before.entry.leaving) {
+            let entry = before.entry;
+            let former = FormerEntry {
+                entry,
+                since: now,
+                of_lost_era,
+            };
+            self.former.insert(name, former);
         }
     }
 
@@ -117,27 +168,22 @@
         self.fleet.put(name, stays.or(own));
     }
 
-    fn forget_taken_off(&mut self, now: Timestamp) {
-        self.taken_off
-            .retain(|_, (_, since)| now.since(*since) < LEASES_END);
+    fn forget_former(&mut self, now: Timestamp) {
+        self.former
+            .retain(|_, former| now.since(former.since) < LEASES_END);
     }
 
     /// The nodes that may hold the lease of a group's primary: those whose entry names the group,
-    /// also while they leave, and such nodes that were taken off the list a short time ago.
-    fn lease_holders(
-        &self,
-        group: &str,
-        now: Timestamp,
-    ) -> impl Iterator<Item = (&String, &NodeEntry)> {
+    /// also while they leave, and nodes whose former entry still counts.
+    fn lease_holders(&self, group: &str, now: Timestamp) -> BTreeMap<&String, &NodeEntry> {
+        let former = self.former.iter();
+        let former = former.filter(|(_, former)| former.may_hold(group, now));
+        let former = former.map(|(name, former)| (name, &former.entry));
         let listed = self.nodes.iter().flatten();
+        let listed = listed.filter(|(_, node)| node.entry.leases.contains(group));
         let listed = listed.map(|(name, node)| (name, &node.entry));
-        let taken_off = self.taken_off.iter();
-        let taken_off = taken_off.filter(move |(_, (_, since))| now.since(*since) < LEASES_END);
-        let taken_off = taken_off.map(|(name, (entry, _))| (name, entry));
-        let holds = move |entry: &NodeEntry| entry.leases.contains(group);
-        listed
-            .chain(taken_off)
-            .filter(move |(_, entry)| holds(entry))
+        // What is listed of a node goes before what was.
+        former.chain(listed).collect()
     }
 }
 
@@ -207,16 +253,27 @@
         self.own_changed.subscribe()
     }
 
-    /// Takes in the whole list.
-    pub fn replace(&self, nodes: BTreeMap<String, ListedNode>, now: Timestamp) {
-        let mut changes: Vec<(String, Option<ListedNode>)> = {
-            let inner = self.lock();
+    /// Takes in the whole list, as the store tells it in an era; tells whether a list of another era
+    /// was known.
+    pub fn replace(
+        &self,
+        nodes: BTreeMap<String, ListedNode>,
+        era: StoreEra,
+        now: Timestamp,
+    ) -> bool {
+        let (mut changes, has_era_changed) = {
+            let mut inner = self.lock();
+            let former = std::mem::replace(&mut inner.era, era);
+            let has_era_changed = inner.nodes.is_some() && former != era;
             let known = inner.nodes.iter().flatten();
             let missing = known.filter(|(name, _)| !nodes.contains_key(*name));
-            missing.map(|(name, _)| (name.clone(), None)).collect()
+            let missing = missing.map(|(name, _)| (name.clone(), None));
+            let changes: Vec<(String, Option<ListedNode>)> = missing.collect();
+            (changes, has_era_changed)
         };
         changes.extend(nodes.into_iter().map(|(name, node)| (name, Some(node))));
         self.change(changes, now);
+        has_era_changed
     }
 
     /// Takes in nodes that are listed, or are not listed any more; gives the groups whose homes
@@ -232,7 +289,7 @@
         for (name, node) in changes {
             inner.set(name, node, now);
         }
-        inner.forget_taken_off(now);
+        inner.forget_former(now);
         let settled = inner.fleet.settle(&self.place);
         drop(inner);
         let was_known = self.is_known.send_replace(true);
@@ -291,10 +348,11 @@
     }
 
     /// All other nodes that may hold the lease of a group's primary: those whose entry names the
-    /// group, also while they leave, and such nodes that were taken off the list a short time ago.
+    /// group, also while they leave, nodes that were taken off the list a short time ago, and all that
+    /// were listed before the store came back from a copy a short time ago.
     pub fn lease_holders(&self, group: &str, now: Timestamp) -> Vec<PeerNode> {
         let inner = self.lock();
-        let holders = inner.lease_holders(group, now);
+        let holders = inner.lease_holders(group, now).into_iter();
         holders
             .filter(|(name, _)| **name != self.own_name)
             .map(|(name, entry)| peer_node(name, entry))
@@ -304,8 +362,8 @@
     /// Whether a decision on a group's primary waits for this node, listed or just taken off.
     pub fn is_awaited(&self, group: &str, now: Timestamp) -> bool {
         let inner = self.lock();
-        let mut holders = inner.lease_holders(group, now);
-        holders.any(|(name, _)| *name == self.own_name)
+        let holders = inner.lease_holders(group, now);
+        holders.contains_key(&self.own_name)
     }
 
     /// The name of the listed node at an address, and the version of its row.
--- a/crates/spurpier-pipeline/src/membership.rs
+++ b/crates/spurpier-pipeline/src/membership.rs
@@ -271,12 +271,14 @@
 }
 
 impl RowSink for ClusterSink {
-    fn replace(&mut self, rows: &[Row], _version: StoreVersion) {
+    fn replace(&mut self, rows: &[Row], version: StoreVersion) {
         let (nodes, successions): (Vec<&Row>, Vec<&Row>) =
             rows.iter().partition(|row| is_node_row(row));
         let nodes = nodes.into_iter();
         let nodes = nodes.filter_map(|row| Some((row.key.clone(), listed(row)?)));
-        self.0.homes.replace(nodes.collect(), self.0.clock.now());
+        let now = self.0.clock.now();
+        let nodes = nodes.collect();
+        self.0.homes.replace(nodes, version.era(), now);
         for row in successions {
             self.take_succession(row);
         }
--- a/crates/spurpier-pipeline/tests/fleet_spread.rs
+++ b/crates/spurpier-pipeline/tests/fleet_spread.rs
@@ -6,7 +6,7 @@
 
 use proptest::prelude::*;
 use spurpier_core::directory::Incarnation;
-use spurpier_core::store_version::StoreVersion;
+use spurpier_core::store_version::{StoreEra, StoreVersion};
 use spurpier_core::time::Timestamp;
 use spurpier_pipeline::homes::Homes;
 use spurpier_pipeline::node_entry::{LeaseScope, ListedNode, NodeEntry};
@@ -81,7 +81,7 @@
 fn a_watcher_has_as_many_followers_whatever_the_size_of_the_fleet() {
     for size in SIZES {
         let homes = Homes::new(&settings());
-        homes.replace(fleet(size), Timestamp::ZERO);
+        homes.replace(fleet(size), StoreEra::UNTOLD, Timestamp::ZERO);
         let mut followers: BTreeMap<String, usize> = BTreeMap::new();
         let mut watchers = 0;
         for number in 0..size {
--- a/crates/spurpier-pipeline/tests/homes.rs
+++ b/crates/spurpier-pipeline/tests/homes.rs
@@ -2,12 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use proptest::prelude::*;
 use spurpier_core::homes::subject_digest;
-use spurpier_core::lead::{Distance, RankedNode, homes_per_zone, rank_homes};
+use spurpier_core::lead::{Distance, LEASE, LEASE_MARGIN, RankedNode, homes_per_zone, rank_homes};
 use spurpier_core::membership::NodeKey;
-use spurpier_core::store_version::StoreVersion;
+use spurpier_core::store_version::{StoreEra, StoreVersion};
 use spurpier_core::time::Timestamp;
 use spurpier_pipeline::homes::{ChosenNodes, Homes, PeerNode};
 use spurpier_pipeline::node_entry::{LeaseScope, ListedNode, NodeEntry};
@@ -182,7 +183,7 @@
         let mut list: BTreeMap<String, ListedNode> = BTreeMap::new();
         prop_assert!(homes.of(&group(0), connections[0]).is_own, "nothing is known yet");
         prop_assert_eq!(homes.served(), None);
-        homes.replace(BTreeMap::new(), Timestamp::ZERO);
+        homes.replace(BTreeMap::new(), StoreEra::UNTOLD, Timestamp::ZERO);
         let homes_of_all = |homes: &Homes| -> Vec<ChosenNodes> {
             let groups = connections.iter().enumerate();
             groups.map(|(number, count)| (*homes.of(&group(number), *count)).clone()).collect()
@@ -207,7 +208,7 @@
                     for number in missing {
                         list.remove(&name(number));
                     }
-                    homes.replace(list.clone(), Timestamp::ZERO);
+                    homes.replace(list.clone(), StoreEra::UNTOLD, Timestamp::ZERO);
                     None
                 }
             };
@@ -240,7 +241,7 @@
         lease_group,
     };
     let list = (0..20).map(|number| (name(number), node(0).listed()));
-    homes.replace(list.collect(), Timestamp::ZERO);
+    homes.replace(list.collect(), StoreEra::UNTOLD, Timestamp::ZERO);
     let before = homes.of(&group(0), 36);
     let mut own_changes = homes.own_changes();
     own_changes.mark_unchanged();
@@ -252,3 +253,42 @@
     assert!(homes.change(vec![own], Timestamp::ZERO).is_empty());
     assert!(own_changes.has_changed().expect("the sender lives"));
 }
+
+/// An entry's row in an era of the store.
+fn listed_in(era: u64, entry: &Entry) -> ListedNode {
+    let era = StoreEra::new(era).expect("a small number");
+    let version = StoreVersion::new(era, 1).expect("a small number");
+    let listed = entry.listed();
+    ListedNode { version, ..listed }
+}
+
+#[test]
+fn a_registration_that_the_store_has_lost_is_asked_until_its_lease_has_ended() {
+    let node = |lease_group| Entry {
+        zone: 0,
+        weight: 1.0,
+        port: 1_000,
+        leaving: false,
+        lease_group,
+    };
+    let era = |number| StoreEra::new(number).expect("a small number");
+    let homes = Homes::new(&settings());
+    let list = (1..4).map(|number| (name(number), listed_in(1, &node(1))));
+    homes.replace(list.collect(), era(1), Timestamp::ZERO);
+    // The copy lacks the first node, and an older entry of the second names another group.
+    let older = [(2, 0), (3, 1)];
+    let older = older.map(|(number, group)| (name(number), listed_in(2, &node(group))));
+    let returned_at = Timestamp::ZERO + Duration::from_secs(1);
+    homes.replace(BTreeMap::from(older), era(2), returned_at);
+    let holders = |now| {
+        let holders = homes.lease_holders(&group(1), now).into_iter();
+        holders.map(|node| node.name).collect::<Vec<_>>()
+    };
+    assert_eq!(holders(returned_at), [name(1), name(2), name(3)]);
+    let listed_again = vec![(name(2), Some(listed_in(2, &node(0))))];
+    homes.change(listed_again, returned_at);
+    let ended = returned_at + LEASE + LEASE_MARGIN;
+    let last = Timestamp::from_micros(ended.as_micros() - 1);
+    assert_eq!(holders(last), [name(1), name(2), name(3)]);
+    assert_eq!(holders(ended), [name(3)]);
+}
