Store a succession again that the store has lost

A node that starts after the return reads who leads from the store. If the newest decision is younger than the copy, such a node would not know of it and could take a deposed primary for the lead. Homes that know a newer succession than the list of a new era write it again, under the condition that its row is as they were told; of several the first one wins.

a_succession_that_the_store_has_lost_is_stored_again failed before (never true in 20 s) and passes.

--- a/crates/spurpier-core/src/lead/knowledge.rs
+++ b/crates/spurpier-core/src/lead/knowledge.rs
@@ -121,6 +121,11 @@
         self.is_successor(incarnation) && denied.is_none_or(|until| *until <= now)
     }
 
+    /// The newest succession; none if there was none.
+    pub fn succession(&self) -> Option<&Succession> {
+        self.succession.as_ref()
+    }
+
     /// The token of the newest succession; 0 if there was none.
     pub fn token(&self) -> u64 {
         self.succession.as_ref().map_or(0, |newest| newest.token)
--- a/crates/spurpier-pipeline/src/duty/holder.rs
+++ b/crates/spurpier-pipeline/src/duty/holder.rs
@@ -1,5 +1,6 @@
 //! The rows of the duty in the store: reading them, and storing a decision under a new token.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -220,6 +221,40 @@
     make(context, vec![condition], vec![write]).await;
 }
 
+/// Stores a succession again that the store has lost, in the place of the row of a version. Another
+/// node may be faster, or a newer decision: then nothing is written.
+pub async fn restore_succession(
+    context: Arc<Context>,
+    group: Arc<Group>,
+    succession: Succession,
+    known: StoreVersion,
+) {
+    if group.token() != succession.token {
+        return;
+    }
+    let key = succession_key(&group.name);
+    let condition = Condition {
+        table: Table::Cluster,
+        key: key.clone(),
+        version: known,
+    };
+    let write = Write::Put {
+        table: Table::Cluster,
+        key,
+        value: Bytes::from(succession.serialize_bin()),
+    };
+    let version = make(&context, vec![condition], vec![write]).await;
+    if let Some(version) = version {
+        log_event!(
+            events::SUCCESSION_RESTORED,
+            group = group.name,
+            server = succession.successor,
+            token = succession.token,
+            version = version
+        );
+    }
+}
+
 /// Whether a decision is still its group's newest; none if the store does not tell.
 pub async fn confirm_decision(
     context: &Context,
--- a/crates/spurpier-pipeline/src/duty/mod.rs
+++ b/crates/spurpier-pipeline/src/duty/mod.rs
@@ -12,6 +12,7 @@
 mod watch;
 
 pub use self::demand::follow_demand;
+pub use self::holder::restore_succession;
 pub use self::peers::Peers;
 pub use self::round::yield_by_store;
 pub use self::watch::watch_groups;
--- a/crates/spurpier-pipeline/src/events.rs
+++ b/crates/spurpier-pipeline/src/events.rs
@@ -43,6 +43,7 @@
     PRIMARY_SUSPECTED = 6044, "primary_suspected", Warn, "the primary of a group does not answer this node", "see the server and the way to it";
     SUCCESSION_KNOWN = 6045, "succession_known", Info, "a server takes over its group, and no other is used as the lead from now on", "none if planned";
     NODES_AWAITED = 6046, "nodes_awaited", Warn, "nodes that may still use a former primary do not answer; its successor waits until their leases have ended", "see the nodes that are named";
+    SUCCESSION_RESTORED = 6047, "succession_restored", Info, "a succession that the store had lost is stored again", "none";
     PRIMARY_MOVES = 6070, "primary_moves", Info, "a primary that serves hands its group over to another server", "none; the reason tells why, and demand that much of the group's work is not allowed where the primary stands";
     REGIONS_UNKNOWN = 6071, "regions_unknown", Warn, "the configuration in force names regions that no zone has; what is bound to them alone is refused", "mend what the findings name, by their place, or add the region to the settings' zones";
     SERVER_COLD = 6130, "server_cold", Info, "a server is cold; where its group has a cold rate, messages to it are counted over all nodes", "none";
--- a/crates/spurpier-pipeline/src/group.rs
+++ b/crates/spurpier-pipeline/src/group.rs
@@ -157,6 +157,11 @@
         choose_lead(&candidates).map(|index| Arc::clone(servers[index]))
     }
 
+    /// The newest succession; none if there was none.
+    pub fn succession(&self) -> Option<Succession> {
+        self.lock().leading.succession().cloned()
+    }
+
     /// The token of the newest succession; 0 if there was none.
     pub fn token(&self) -> u64 {
         self.lock().leading.token()
--- a/crates/spurpier-pipeline/src/membership.rs
+++ b/crates/spurpier-pipeline/src/membership.rs
@@ -1,5 +1,6 @@
 //! Which nodes there are: each lists itself in the store while it runs.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 
 use crate::context::Context;
 use crate::directory::{share_connections, share_connections_of};
-use crate::duty::yield_by_store;
+use crate::duty::{restore_succession, yield_by_store};
 use crate::era::transact_in_era;
 use crate::events;
 use crate::follow::RowSink;
@@ -278,10 +279,13 @@
         let nodes = nodes.filter_map(|row| Some((row.key.clone(), listed(row)?)));
         let now = self.0.clock.now();
         let nodes = nodes.collect();
-        self.0.homes.replace(nodes, version.era(), now);
-        for row in successions {
+        let has_era_changed = self.0.homes.replace(nodes, version.era(), now);
+        for row in &successions {
             self.take_succession(row);
         }
+        if has_era_changed {
+            self.restore_lost(&successions, version);
+        }
         share_connections(&self.0);
     }
 
@@ -304,6 +308,29 @@
 }
 
 impl ClusterSink {
+    /// Has the successions stored again that the store has lost, where this node is a home: nodes that
+    /// start from now on must learn of them.
+    fn restore_lost(&self, told: &[&Row], version: StoreVersion) {
+        let told: BTreeMap<&str, &Row> = told.iter().map(|row| (row.key.as_str(), *row)).collect();
+        for group in self.0.groups_in_use() {
+            let Some(succession) = group.succession() else {
+                continue;
+            };
+            let row = told.get(succession_key(&group.name).as_str()).copied();
+            let stored = row.and_then(|row| Succession::deserialize_bin(&row.value).ok());
+            if stored.is_some_and(|stored| stored.token >= succession.token) {
+                continue;
+            }
+            let known = row.map_or(version.absence(), |row| row.version);
+            tokio::spawn(restore_succession(
+                Arc::clone(&self.0),
+                group,
+                succession,
+                known,
+            ));
+        }
+    }
+
     fn take_succession(&self, row: &Row) {
         let Some(group) = row.key.strip_prefix(SUCCESSION_PREFIX) else {
             return;
