Keep a zone evacuated whose row the store has lost, until the operator has written it again

After a return the store may lack the row of an evacuation for a moment; nodes that read the table anew took the zone back at once, and used its servers against the operator's bound. Zones that counted as evacuated in the former era stay so until they are told again, when rows decide as ever, or for 10 s.

The users' pages do not tell how soon the operator writes again: 10 s is an assumption, named WRITTEN_AGAIN. A node that starts between the return and the operator's write does not know of the zone.

--- a/crates/spurpier-core/tests/evacuations.rs
+++ b/crates/spurpier-core/tests/evacuations.rs
@@ -5,8 +5,8 @@
 
 use proptest::prelude::*;
 use proptest::sample::select;
-use spurpier_core::places::{Evacuations, HELD_BACK, Phase, WAY_MARGIN};
-use spurpier_core::store_version::StoreVersion;
+use spurpier_core::places::{Evacuations, HELD_BACK, HeldZones, Phase, WAY_MARGIN, WRITTEN_AGAIN};
+use spurpier_core::store_version::{StoreEra, StoreVersion};
 use spurpier_core::time::Timestamp;
 
 const BOUND: Duration = Duration::from_millis(5_000);
@@ -265,3 +265,43 @@
         }
     }
 }
+
+/// The zones that count as evacuated, of which `known` did before and the store tells `told`.
+fn counted(
+    held: &mut HeldZones,
+    known: &[&str],
+    told: &[&str],
+    era: u64,
+    now: Timestamp,
+) -> String {
+    let era = StoreEra::new(era).expect("a small number");
+    let known = known.iter().map(|zone| (*zone).to_owned());
+    let counted = held.with_held(known, &zones(told), era, now);
+    counted.into_iter().collect::<Vec<_>>().join(" ")
+}
+
+#[test]
+fn a_zone_whose_row_the_store_has_lost_stays_evacuated_until_it_is_written_again() {
+    let mut held = HeldZones::default();
+    assert_eq!(counted(&mut held, &[], &["a", "b"], 1, at(0)), "a b");
+    assert_eq!(counted(&mut held, &["a", "b"], &["b"], 1, at(1_000)), "b");
+    let returned = at(2_000);
+    assert_eq!(counted(&mut held, &["b"], &["a"], 2, returned), "a b");
+    assert_eq!(held.held_until(), Some(returned + WRITTEN_AGAIN));
+    // Written again, and then taken away.
+    assert_eq!(counted(&mut held, &["a", "b"], &["b"], 2, at(3_000)), "b");
+    assert_eq!(held.held_until(), None);
+    assert_eq!(counted(&mut held, &["b"], &[], 2, at(4_000)), "");
+}
+
+#[test]
+fn a_zone_whose_row_is_not_written_again_is_taken_back_in_the_end() {
+    let mut held = HeldZones::default();
+    assert_eq!(counted(&mut held, &[], &["a"], 1, at(0)), "a");
+    assert_eq!(counted(&mut held, &["a"], &[], 2, at(1_000)), "a");
+    let end = at(1_000) + WRITTEN_AGAIN;
+    let last = Timestamp::from_micros(end.as_micros() - 1);
+    assert_eq!(counted(&mut held, &["a"], &[], 2, last), "a");
+    assert_eq!(counted(&mut held, &["a"], &[], 2, end), "");
+    assert_eq!(held.held_until(), None);
+}
--- a/crates/spurpier-pipeline/src/configuration/mod.rs
+++ b/crates/spurpier-pipeline/src/configuration/mod.rs
@@ -171,6 +171,7 @@
             known.version(Table::Configuration),
             known.told_before(Table::Configuration),
         );
+        self.look_again_at_held();
         if rows.is_empty() {
             return;
         }
@@ -184,6 +185,21 @@
     }
 }
 
+impl ConfigurationSink {
+    /// Has zones taken back whose rows the store has lost, if the operator has not written them again
+    /// in time.
+    fn look_again_at_held(&self) {
+        let Some(held_until) = self.0.places.evacuations.held_until() else {
+            return;
+        };
+        let context = Arc::clone(&self.0);
+        tokio::spawn(async move {
+            tokio::time::sleep_until(context.clock.instant(held_until)).await;
+            ConfigurationSink(context).put_known_into_force();
+        });
+    }
+}
+
 impl RowSink for ConfigurationSink {
     fn replace(&mut self, _rows: &[Row], _version: StoreVersion) {
         self.put_known_into_force();
--- a/crates/spurpier-pipeline/src/places/evacuations.rs
+++ b/crates/spurpier-pipeline/src/places/evacuations.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use spurpier_core::places::Evacuations;
-use spurpier_core::store_version::StoreVersion;
+use spurpier_core::places::{Evacuations, HeldZones};
+use spurpier_core::store_version::{StoreEra, StoreVersion};
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
 use tokio::sync::watch;
@@ -17,6 +17,8 @@
 #[derive(Debug)]
 struct Inner {
     known: Evacuations,
+    /// Zones whose rows the store has lost.
+    held: HeldZones,
     gates: BTreeMap<String, Arc<ZoneGate>>,
 }
 
@@ -35,23 +37,25 @@
             clock,
             inner: Mutex::new(Inner {
                 known: Evacuations::new(bound),
+                held: HeldZones::default(),
                 gates: BTreeMap::new(),
             }),
             changed: watch::Sender::new(0),
         }
     }
 
-    /// Takes in which zones are evacuated as of a version of the store; `told_before` is up to when
+    /// Takes in which zones the store tells to be evacuated as of a version; `told_before` is up to when
     /// it had told of the rows as they were known before.
     pub fn take(
         &self,
-        zones: &BTreeSet<String>,
+        told: &BTreeSet<String>,
         version: StoreVersion,
         told_before: Option<Timestamp>,
     ) {
         let mut inner = self.lock();
         let is_first = inner.known.first_version().is_none();
-        let changes = inner.known.take(zones, version, told_before);
+        let zones = inner.with_held(told, version.era(), self.clock.now());
+        let changes = inner.known.take(&zones, version, told_before);
         if is_first || !changes.taken_back.is_empty() {
             inner.note_taken_back();
         }
@@ -77,6 +81,11 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Until when zones stay evacuated whose rows the store has lost; none if there are none.
+    pub fn held_until(&self) -> Option<Timestamp> {
+        self.lock().held.held_until()
+    }
+
     /// The gate in front of a zone's servers.
     pub fn gate(&self, zone: &str) -> Arc<ZoneGate> {
         self.lock().gate(zone, &self.clock)
@@ -102,6 +111,17 @@
 }
 
 impl Inner {
+    fn with_held(
+        &mut self,
+        told: &BTreeSet<String>,
+        era: StoreEra,
+        now: Timestamp,
+    ) -> BTreeSet<String> {
+        let known = self.known.zones();
+        let known = known.map(|(zone, _)| zone.to_owned());
+        self.held.with_held(known, told, era, now)
+    }
+
     /// Tells the gates when their zones were taken back: an entry from before may tell of a server
     /// that has turned cold since that it is warm.
     fn note_taken_back(&mut self) {
