Tell no follower less of a table than has changed: removals of unknown rows, and gaps of whole reads

Found by a new state machine of the spread of a table through returns of the store (table_eras), the same code in nodes and model. Both faults are older than the eras and need no return:

A node that was told of a removed row which it had never known did not remember the removal. After a whole read at a later version a node told followers in between only what it knew to have changed; a row that had come and gone in between stayed with them. Such a gap is remembered, eight of them; who stands in one is told the whole table. Tables that are compared by digest need none.

What callers may have seen: a server's entry that is gone goes on being used by some nodes. Taken out one by one, the model notices: both of these, a position of another era asked on (Continuity::Broken), and a table of a new era that does not forget its removals. It does not notice Continuity::Former taken out: its nodes hear one answer at a time.

--- a/crates/spurpier-core/src/store_version.rs
+++ b/crates/spurpier-core/src/store_version.rs
@@ -79,6 +79,30 @@
     }
 }
 
+/// How an answer stands to what its reader knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Continuity {
+    /// It tells all that has changed since the version that was asked after.
+    Continues,
+    /// It is of a later era than the version that was asked after, whose number was given out again:
+    /// what changed below it is not told.
+    Broken,
+    /// It is of an era before the latest one that is known.
+    Former,
+}
+
+/// How the changes that were told as of a version stand to the version that was asked after, where
+/// `latest` is the latest era that is known. [`StoreVersion::NONE`] asks for all changes ever.
+pub fn continuity(after: StoreVersion, told: StoreVersion, latest: StoreEra) -> Continuity {
+    if told.era() < latest {
+        Continuity::Former
+    } else if after != StoreVersion::NONE && after.era() != told.era() {
+        Continuity::Broken
+    } else {
+        Continuity::Continues
+    }
+}
+
 impl fmt::Display for StoreVersion {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}.{}", self.era(), self.number())
--- a/crates/spurpier-pipeline/src/follow/mod.rs
+++ b/crates/spurpier-pipeline/src/follow/mod.rs
@@ -15,7 +15,7 @@
 
 use rand::RngExt;
 use spurpier_core::retry::Backoff;
-use spurpier_core::store_version::StoreVersion;
+use spurpier_core::store_version::{Continuity, StoreVersion, continuity};
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
 use tokio::time::Instant;
@@ -23,7 +23,7 @@
 use crate::context::{Context, TOLD_BY_STORE};
 use crate::events;
 use crate::homes::PeerNode;
-use crate::known_tables::News;
+use crate::known_tables::{Compared, News};
 use crate::membership::is_node_row;
 use crate::ports::{ReadRows, Row, StoreError, Table};
 use crate::progress::{Progress, while_moving};
@@ -262,7 +262,7 @@
         self.note_era(version, told_by);
         let rows = self.sink.newest(rows);
         let known = &self.context.known_tables;
-        let outdated = known.replace(self.table, &rows, version, told_at);
+        let outdated = known.replace(self.table, &rows, version, told_at, self.compared());
         self.note_outdated(outdated, version);
         self.sink.replace(&rows, version);
         self.knows_rows = true;
@@ -281,6 +281,14 @@
         self.note_taken_in(version, told_at);
     }
 
+    fn compared(&self) -> Compared {
+        if self.sink.derives_rows() {
+            Compared::ByDigest
+        } else {
+            Compared::ByVersion
+        }
+    }
+
     /// Tells of rows as of a version that were passed over.
     fn note_outdated(&self, rows: usize, version: StoreVersion) {
         if rows == 0 {
@@ -396,16 +404,17 @@
         match answered {
             Some(Ok(changes)) => {
                 self.note_answer();
-                if !self
-                    .context
-                    .note_store_era(changes.version.era(), TOLD_BY_STORE)
-                {
-                    return self.note_failure(StoreError::EraChanged).await;
-                }
-                if after != StoreVersion::NONE && after.era() != changes.version.era() {
-                    // The number has been given out again: what changed below it is not told.
-                    self.version = None;
-                    return;
+                let told = changes.version;
+                self.context.note_store_era(told.era(), TOLD_BY_STORE);
+                match continuity(after, told, self.context.era()) {
+                    Continuity::Continues => {}
+                    Continuity::Broken => {
+                        self.version = None;
+                        return;
+                    }
+                    Continuity::Former => {
+                        return self.note_failure(StoreError::EraChanged).await;
+                    }
                 }
                 let told_at = self.moment_of(&changes, asked_at);
                 let rows = self.sink.told_form(changes.rows);
--- a/crates/spurpier-pipeline/src/known_tables.rs
+++ b/crates/spurpier-pipeline/src/known_tables.rs
@@ -22,6 +22,9 @@
 /// of the configuration may drop the 1,400 routes that another one added.
 const REMEMBERED: usize = 4_096;
 
+/// Gaps of one table that are remembered; who stands in an older one is told the whole table.
+const MOST_GAPS: usize = 8;
+
 /// Bytes from which on news count as large: 50 nodes take 0.3 s of a link of 10 Mbit/s.
 const LARGE_NEWS: usize = 8 << 10;
 /// About how many bytes a row takes beside its value.
@@ -100,6 +103,28 @@
     }
 }
 
+/// How nodes see that they know the same table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Compared {
+    /// By the version up to which they know it.
+    ByVersion,
+    /// By the digest of its rows as well.
+    ByDigest,
+}
+
+/// Versions between two that are known: rows that came and went there are not.
+#[derive(Debug, Clone, Copy)]
+struct Gap {
+    after: StoreVersion,
+    before: StoreVersion,
+}
+
+impl Gap {
+    fn holds(self, version: StoreVersion) -> bool {
+        self.after < version && version < self.before
+    }
+}
+
 #[derive(Debug, Default)]
 struct KnownTable {
     rows: BTreeMap<String, Row>,
@@ -113,8 +138,10 @@
     changed_at: StoreVersion,
     /// The last removed rows, oldest first.
     removed: VecDeque<Row>,
-    /// The version from which on all removals are remembered.
+    /// The version from which on all removals are remembered, but for the gaps.
     remembered_since: StoreVersion,
+    /// What was passed over by whole reads, oldest first.
+    gaps: VecDeque<Gap>,
     /// The digest of the rows; none if they have changed since it was computed.
     digest: Option<u64>,
 }
@@ -122,12 +149,9 @@
 impl KnownTable {
     /// Takes in the whole table as of a version, but for newer rows that were told ahead of it; tells
     /// how many of these stand in the place of others.
-    fn replace_rows(&mut self, rows: &[Row], version: StoreVersion) -> usize {
+    fn replace_rows(&mut self, rows: &[Row], version: StoreVersion, compared: Compared) -> usize {
         let mut outdated = 0;
-        if self.told_at.is_none() || version.era() != self.version.era() {
-            // What came and went before in this era is not known.
-            self.remembered_since = version;
-        }
+        self.note_leap(version, compared);
         let mut replaced: BTreeMap<String, Row> = rows
             .iter()
             .map(|row| (row.key.clone(), row.clone()))
@@ -171,6 +195,27 @@
         self.told_at = self.told_at.max(Some(told_at));
     }
 
+    /// Takes in that all rows as of a version are told, whatever came and went before.
+    fn note_leap(&mut self, version: StoreVersion, compared: Compared) {
+        if self.told_at.is_none() || version.era() != self.version.era() {
+            // Nobody knows which rows of a former era another node knows.
+            self.remembered_since = version;
+            self.gaps.clear();
+            return;
+        }
+        if version > self.version && compared == Compared::ByVersion {
+            self.gaps.push_back(Gap {
+                after: self.version,
+                before: version,
+            });
+        }
+        if self.gaps.len() > MOST_GAPS
+            && let Some(oldest) = self.gaps.pop_front()
+        {
+            self.remembered_since = self.remembered_since.max(oldest.before);
+        }
+    }
+
     /// The digest of the rows.
     fn digest(&mut self) -> u64 {
         let rows = &self.rows;
@@ -200,9 +245,9 @@
         }
         self.digest = None;
         if row.gone {
-            if self.rows.remove(&row.key).is_some() {
-                self.remember_removal(row.key.clone(), row.version);
-            }
+            self.rows.remove(&row.key);
+            // Another node may know the row that came and went between two answers.
+            self.remember_removal(row.key.clone(), row.version);
         } else {
             self.rows.insert(row.key.clone(), row.clone());
         }
@@ -225,9 +270,10 @@
     }
 
     /// What has changed since a version, in the order of the changes; none if it is not all
-    /// remembered. Nobody knows which rows of a former era another node knows.
+    /// remembered.
     fn since(&self, version: StoreVersion) -> Option<Vec<ToldRow>> {
-        if version < self.remembered_since || version.era() != self.version.era() {
+        let is_in_gap = self.gaps.iter().any(|gap| gap.holds(version));
+        if is_in_gap || version < self.remembered_since {
             return None;
         }
         let rows = self.rows.values().chain(&self.removed);
@@ -250,7 +296,7 @@
 }
 
 /// The tables as this node last saw them.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct KnownTables {
     tables: Mutex<[KnownTable; FOLLOWED.len()]>,
     changed: watch::Sender<u64>,
@@ -259,10 +305,7 @@
 impl KnownTables {
     /// Nothing is known yet.
     pub fn new() -> Self {
-        KnownTables {
-            tables: Mutex::default(),
-            changed: watch::Sender::new(0),
-        }
+        Self::default()
     }
 
     /// Takes in a whole table, as the store told it at `told_at`; tells how many rows were passed
@@ -273,9 +316,10 @@
         rows: &[Row],
         version: StoreVersion,
         told_at: Timestamp,
+        compared: Compared,
     ) -> usize {
         self.update(table, |known| {
-            let outdated = known.replace_rows(rows, version);
+            let outdated = known.replace_rows(rows, version, compared);
             known.note_told(version, told_at);
             outdated
         })
--- a/crates/spurpier-pipeline/src/lib.rs
+++ b/crates/spurpier-pipeline/src/lib.rs
@@ -17,7 +17,7 @@
 mod forward;
 mod group;
 pub mod homes;
-mod known_tables;
+pub mod known_tables;
 pub mod log_budget;
 mod membership;
 mod metrics;
--- /dev/null
+++ b/crates/spurpier-pipeline/tests/table_eras.rs
@@ -0,0 +1,337 @@
+//! A table that a store tells to watchers and these to a follower, through returns from older
+//! copies: a state machine against an oracle that holds the store's rows.
+
+#[path = "../../spurpier-core/tests/proof/mod.rs"]
+mod proof;
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use proof::{cases, config};
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use spurpier_core::store_version::{Continuity, StoreEra, StoreVersion, continuity};
+use spurpier_core::time::Timestamp;
+use spurpier_pipeline::known_tables::{Compared, KnownTables, table_number};
+use spurpier_pipeline::ports::{Row, Table};
+
+const DEFAULT_CASES: u64 = 2_000;
+const TABLE: Table = Table::Servers;
+const KEYS: u8 = 4;
+const WATCHERS: usize = 2;
+/// Questions after which a node knows all, if nothing changes: one that finds its position gone, one
+/// that finds the era changed, a whole read and one for changes.
+const SETTLED_AFTER: usize = 4;
+
+/// What the store holds: a value under each key, none if the row was removed.
+#[derive(Debug, Clone, Default)]
+struct Content {
+    rows: BTreeMap<u8, (Option<u8>, u64)>,
+    version: u64,
+}
+
+/// The store, and the copy from which it may come back.
+#[derive(Debug, Clone)]
+struct Store {
+    content: Content,
+    copy: Content,
+    era: u64,
+    /// Changes up to this version cannot be told any more.
+    forgotten: u64,
+}
+
+impl Store {
+    fn new() -> Self {
+        Store {
+            content: Content::default(),
+            copy: Content::default(),
+            era: 1,
+            forgotten: 0,
+        }
+    }
+
+    fn write(&mut self, key: u8, value: Option<u8>) {
+        self.content.version += 1;
+        let version = self.content.version;
+        self.content.rows.insert(key, (value, version));
+    }
+
+    fn come_back(&mut self) {
+        self.content = self.copy.clone();
+        self.era += 1;
+        self.forgotten = 0;
+    }
+
+    fn at(&self, number: u64) -> StoreVersion {
+        let era = StoreEra::new(self.era).expect("few eras");
+        StoreVersion::new(era, number).expect("few writes")
+    }
+
+    fn row(&self, key: u8, value: Option<u8>, number: u64) -> Row {
+        Row {
+            key: key.to_string(),
+            value: value.map_or_else(Bytes::new, |value| Bytes::from(vec![value])),
+            version: self.at(number),
+            gone: value.is_none(),
+        }
+    }
+
+    fn whole(&self) -> Answer {
+        let rows = self.content.rows.iter();
+        let rows = rows.filter(|(_, (value, _))| value.is_some());
+        Answer::Whole {
+            rows: rows
+                .map(|(key, (value, number))| self.row(*key, *value, *number))
+                .collect(),
+            version: self.at(self.content.version),
+        }
+    }
+
+    fn changes(&self, after: StoreVersion) -> Answer {
+        if after.number() > self.content.version || after.number() < self.forgotten {
+            return Answer::HistoryGone;
+        }
+        let rows = self.content.rows.iter();
+        let rows = rows.filter(|(_, (_, number))| *number > after.number());
+        let mut rows: Vec<Row> = rows
+            .map(|(key, (value, number))| self.row(*key, *value, *number))
+            .collect();
+        rows.sort_by_key(|row| row.version);
+        Answer::Changes {
+            after,
+            rows,
+            version: self.at(self.content.version),
+        }
+    }
+
+    /// The rows as a node that knows all knows them.
+    fn expected(&self) -> BTreeMap<String, Vec<u8>> {
+        let rows = self.content.rows.iter();
+        rows.filter_map(|(key, (value, _))| Some((key.to_string(), vec![(*value)?])))
+            .collect()
+    }
+}
+
+/// What the store answers; it may come late.
+#[derive(Debug, Clone)]
+enum Answer {
+    Whole {
+        rows: Vec<Row>,
+        version: StoreVersion,
+    },
+    Changes {
+        after: StoreVersion,
+        rows: Vec<Row>,
+        version: StoreVersion,
+    },
+    HistoryGone,
+}
+
+/// A node that follows the table.
+struct FollowingNode {
+    known: KnownTables,
+    position: Option<StoreVersion>,
+    era: StoreEra,
+    /// An answer that is on its way.
+    pending: Option<Answer>,
+}
+
+impl FollowingNode {
+    fn new() -> Self {
+        FollowingNode {
+            known: KnownTables::new(),
+            position: None,
+            era: StoreEra::UNTOLD,
+            pending: None,
+        }
+    }
+
+    fn ask(&mut self, store: &Store) {
+        self.pending = Some(match self.position {
+            Some(position) => store.changes(position),
+            None => store.whole(),
+        });
+    }
+
+    fn hear(&mut self) {
+        match self.pending.take() {
+            None => {}
+            Some(Answer::HistoryGone) => self.position = None,
+            Some(Answer::Whole { rows, version }) => {
+                self.era = self.era.max(version.era());
+                if version.era() == self.era {
+                    self.take_all(&rows, version);
+                }
+            }
+            Some(Answer::Changes {
+                after,
+                rows,
+                version,
+            }) => {
+                self.era = self.era.max(version.era());
+                match continuity(after, version, self.era) {
+                    Continuity::Continues => self.take_changes(&rows, version),
+                    Continuity::Broken => self.position = None,
+                    Continuity::Former => {}
+                }
+            }
+        }
+    }
+
+    fn take_all(&mut self, rows: &[Row], version: StoreVersion) {
+        let compared = Compared::ByVersion;
+        self.known
+            .replace(TABLE, rows, version, Timestamp::ZERO, compared);
+        self.position = self.position.max(Some(version));
+    }
+
+    fn take_changes(&mut self, rows: &[Row], version: StoreVersion) {
+        self.known.change(TABLE, rows, version, Timestamp::ZERO);
+        self.position = self.position.max(Some(version));
+    }
+
+    /// Takes in what another node tells, unless that knows less.
+    fn ask_node(&mut self, other: &FollowingNode) {
+        let number = table_number(TABLE).expect("it is followed");
+        let now = Timestamp::ZERO;
+        let Some(news) = other.known.news(number, self.position, now, now) else {
+            return;
+        };
+        if news.version < self.known.version(TABLE) {
+            return;
+        }
+        let rows: Vec<Row> = news.rows.0.into_iter().map(|row| row.0).collect();
+        if news.whole {
+            self.take_all(&rows, news.version);
+        } else {
+            self.take_changes(&rows, news.version);
+        }
+    }
+
+    fn rows(&self) -> BTreeMap<String, Vec<u8>> {
+        let rows = self.known.rows(TABLE).into_iter();
+        rows.map(|row| (row.key, row.value.to_vec())).collect()
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Write(u8, u8),
+    Remove(u8),
+    TakeCopy,
+    ComeBack,
+    ForgetHistory,
+    /// A watcher sends a question, which is answered at once.
+    Ask(usize),
+    /// The answer arrives.
+    Hear(usize),
+    /// The follower asks a watcher.
+    Follow(usize),
+}
+
+struct Oracle;
+
+impl ReferenceStateMachine for Oracle {
+    type State = Store;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Store> {
+        Just(Store::new()).boxed()
+    }
+
+    fn transitions(_store: &Store) -> BoxedStrategy<Step> {
+        prop_oneof![
+            6 => (0..KEYS, any::<u8>()).prop_map(|(key, value)| Step::Write(key, value)),
+            3 => (0..KEYS).prop_map(Step::Remove),
+            1 => Just(Step::TakeCopy),
+            1 => Just(Step::ComeBack),
+            1 => Just(Step::ForgetHistory),
+            4 => (0..WATCHERS).prop_map(Step::Ask),
+            4 => (0..WATCHERS).prop_map(Step::Hear),
+            3 => (0..WATCHERS).prop_map(Step::Follow),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut store: Store, step: &Step) -> Store {
+        match *step {
+            Step::Write(key, value) => store.write(key, Some(value)),
+            Step::Remove(key) => store.write(key, None),
+            Step::TakeCopy => store.copy = store.content.clone(),
+            Step::ComeBack => store.come_back(),
+            Step::ForgetHistory => store.forgotten = store.content.version,
+            Step::Ask(_) | Step::Hear(_) | Step::Follow(_) => {}
+        }
+        store
+    }
+}
+
+struct Nodes {
+    watchers: [FollowingNode; WATCHERS],
+    follower: FollowingNode,
+}
+
+impl Nodes {
+    /// Lets all that is on its way arrive, and all nodes ask until they know all.
+    fn settle(&mut self, store: &Store) {
+        for watcher in &mut self.watchers {
+            watcher.hear();
+            for _ in 0..SETTLED_AFTER {
+                watcher.ask(store);
+                watcher.hear();
+            }
+        }
+        for watcher in &self.watchers {
+            self.follower.ask_node(watcher);
+        }
+    }
+}
+
+impl StateMachineTest for Nodes {
+    type SystemUnderTest = Nodes;
+    type Reference = Oracle;
+
+    fn init_test(_store: &Store) -> Nodes {
+        Nodes {
+            watchers: [FollowingNode::new(), FollowingNode::new()],
+            follower: FollowingNode::new(),
+        }
+    }
+
+    fn apply(mut nodes: Nodes, store: &Store, step: Step) -> Nodes {
+        match step {
+            Step::Ask(watcher) => nodes.watchers[watcher].ask(store),
+            Step::Hear(watcher) => {
+                let node = &mut nodes.watchers[watcher];
+                let before = node.known.version(TABLE);
+                node.hear();
+                assert!(node.known.version(TABLE) >= before, "it went back");
+            }
+            Step::Follow(watcher) => nodes.follower.ask_node(&nodes.watchers[watcher]),
+            Step::Write(..)
+            | Step::Remove(_)
+            | Step::TakeCopy
+            | Step::ComeBack
+            | Step::ForgetHistory => {}
+        }
+        nodes
+    }
+
+    fn teardown(mut nodes: Nodes, store: Store) {
+        nodes.settle(&store);
+        let expected = store.expected();
+        for watcher in &nodes.watchers {
+            assert_eq!(watcher.rows(), expected, "a watcher");
+        }
+        assert_eq!(nodes.follower.rows(), expected, "the follower");
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config(cases(DEFAULT_CASES)))]
+
+    #[test]
+    fn no_change_is_hidden_and_no_lost_row_stays_when_the_store_comes_back(
+        sequential 1..60 => Nodes
+    );
+}
