Tell a follower of a former era the whole table, and keep entries that the store has lost

(1) With one rule for gaps a follower was told only changes through a return: by them it did not learn that the list is of a new era, asked fewer nodes for a decision, and stored no lost succession again. (2) An entry that a later era had replaced was overwritten when its node left the new list, and then counted only for the groups that it names. a_node_that_knows_a_former_era_is_told_the_whole_table is new; the test of lost registrations lets the node leave the new list as well (it fails with the rule taken out by reading, not run).

--- a/crates/spurpier-pipeline/src/homes/mod.rs
+++ b/crates/spurpier-pipeline/src/homes/mod.rs
@@ -128,15 +128,13 @@
         let of_lost_era = before
             .as_ref()
             .is_some_and(|before| before.version.era() < era);
-        let is_listed_on = after.is_some() && !of_lost_era;
-        if is_listed_on {
-            if self
-                .former
-                .get(&name)
-                .is_some_and(|former| !former.of_lost_era)
-            {
-                self.former.remove(&name);
-            }
+        let former = self.former.get(&name);
+        let keeps_lost = former.is_some_and(|former| former.of_lost_era) && !of_lost_era;
+        if keeps_lost {
+            return;
+        }
+        if after.is_some() && !of_lost_era {
+            self.former.remove(&name);
             return;
         }
         if let Some(before) = before.filter(|before| of_lost_era || !before.entry.leaving) {
--- a/crates/spurpier-pipeline/src/known_tables.rs
+++ b/crates/spurpier-pipeline/src/known_tables.rs
@@ -271,7 +271,9 @@
     /// remembered.
     fn since(&self, version: StoreVersion) -> Option<Vec<ToldRow>> {
         let is_in_gap = self.gaps.iter().any(|gap| gap.holds(version));
-        if is_in_gap || version < self.remembered_since {
+        // By the whole table a caller learns that the store came back.
+        let is_former = version.era() != self.version.era();
+        if is_in_gap || is_former || version < self.remembered_since {
             return None;
         }
         let rows = self.rows.values().chain(&self.removed);
--- a/crates/spurpier-pipeline/tests/homes.rs
+++ b/crates/spurpier-pipeline/tests/homes.rs
@@ -285,8 +285,9 @@
         holders.map(|node| node.name).collect::<Vec<_>>()
     };
     assert_eq!(holders(returned_at), [name(1), name(2), name(3)]);
-    let listed_again = vec![(name(2), Some(listed_in(2, &node(0))))];
-    homes.change(listed_again, returned_at);
+    // What is told of them in the new era changes nothing of what they may have registered for.
+    let later = vec![(name(2), Some(listed_in(2, &node(0)))), (name(2), None)];
+    homes.change(later, returned_at);
     let ended = returned_at + LEASE + LEASE_MARGIN;
     let last = Timestamp::from_micros(ended.as_micros() - 1);
     assert_eq!(holders(last), [name(1), name(2), name(3)]);
--- a/crates/spurpier-pipeline/tests/table_eras.rs
+++ b/crates/spurpier-pipeline/tests/table_eras.rs
@@ -335,3 +335,28 @@
         sequential 1..60 => Nodes
     );
 }
+
+#[test]
+fn a_node_that_knows_a_former_era_is_told_the_whole_table() {
+    let mut store = Store::new();
+    store.write(0, Some(1));
+    store.write(1, Some(1));
+    let mut watcher = FollowingNode::new();
+    watcher.ask(&store);
+    watcher.hear();
+    let former = watcher.position;
+    let number = table_number(TABLE).expect("it is followed");
+    let news = |watcher: &FollowingNode| {
+        let now = Timestamp::ZERO;
+        watcher.known.news(number, former, now, now).expect("known")
+    };
+    assert!(!news(&watcher).whole);
+    store.copy = store.content.clone();
+    store.come_back();
+    for _ in 0..SETTLED_AFTER {
+        watcher.ask(&store);
+        watcher.hear();
+    }
+    let told = news(&watcher);
+    assert!(told.whole && told.rows.0.len() == 2, "{told:?}");
+}
