Review, case 3: an answer to a former process is taken for one to the present

Cause: requests between nodes are numbered from 1 by each process, and the answer on the state of a primary names neither the group nor the process that asked. A node that freezes, and wakes after the asking node was restarted, answers both the former and the present process under the same number.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -43,9 +43,9 @@
     await store.start()
     group = Group(SERVICE, store, record, synchronous=1)
     await group.start([(PRIMARY, "piedmont-hall-a"), (HOLDER, "gulf-hall-a"), (BEHIND, "delta-hall-a")])
-    promotions = Promotions(group, record)
+    promotions = Promotions([group], record)
     await promotions.start()
-    store.put("op", "config", configuration(SERVICE, synchronous=1))
+    store.put("op", "config", configuration([SERVICE], synchronous=1))
     deployment = Deployment(record, folder)
     for number, zone in enumerate(deployment.zones):
         deployment.add(f"n{number + 1}", zone, store.port, promotions.port)
--- a/review/stand_in/client.py
+++ b/review/stand_in/client.py
@@ -7,8 +7,9 @@
 
 
 class Reply:
-    def __init__(self, query_id, rows, outcome, ready):
+    def __init__(self, query_id, rows, outcome, ready, sent_at, answered_at):
         self.id, self.rows, self.outcome, self.ready = query_id, rows, outcome, ready
+        self.sent_at, self.answered_at = sent_at, answered_at
 
     @property
     def is_done(self):
@@ -34,6 +35,8 @@
         """Sends a statement and waits for its whole answer."""
         query_id = f"q{next(_ids)}"
         self.record.note("sent", client=self.name, id=query_id, text=text)
+        clock = asyncio.get_running_loop().time
+        sent_at = clock()
         rows, outcome, ready = [], "", ""
         try:
             self.writer.write(f"QUERY {query_id} {text}\r\n".encode())
@@ -48,7 +51,7 @@
                         outcome = line
         except (ConnectionError, asyncio.IncompleteReadError, TimeoutError):
             outcome = ""
-        reply = Reply(query_id, rows, outcome, ready)
+        reply = Reply(query_id, rows, outcome, ready, sent_at, clock())
         self.record.note("answered", client=self.name, id=query_id, answer=reply, ready=ready)
         return reply
 
--- a/review/stand_in/deployment.py
+++ b/review/stand_in/deployment.py
@@ -84,6 +84,14 @@
         self.process.send_signal(signal.SIGKILL)
         self.process.wait()
 
+    def freeze(self):
+        self.deployment.record.note("node-freezes", node=self.name)
+        self.process.send_signal(signal.SIGSTOP)
+
+    def wake(self):
+        self.deployment.record.note("node-wakes", node=self.name)
+        self.process.send_signal(signal.SIGCONT)
+
     async def is_ready(self):
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", self.ready)
@@ -125,21 +133,29 @@
                 node.process.wait()
 
 
-def configuration(service, synchronous):
-    """The operator's configuration: one service and a database of each kind."""
+def databases(service_number):
+    """The databases of a service, by the names of the site's routes."""
+    suffix = f"-{service_number + 1}" if service_number else ""
+    return {name: name + suffix for name in ROUTES}
+
+
+def configuration(services, synchronous):
+    """The operator's configuration: services, and a database of each kind for each."""
     routes = []
-    for host, (kind, timeout, target, staleness) in ROUTES.items():
-        route = {"name": f"r-{host}", "host": host, "path-prefix": "/", "kind": kind,
-                 "timeout-ms": timeout, "target-latency-ms": target, "priority": 1,
-                 "service": service, "retry-attempts": 2}
-        if staleness is not None:
-            route["max-staleness-ms"] = staleness
-        routes.append(route)
+    for number, service in enumerate(services):
+        for name, host in databases(number).items():
+            kind, timeout, target, staleness = ROUTES[name]
+            route = {"name": f"r-{host}", "host": host, "path-prefix": "/", "kind": kind,
+                     "timeout-ms": timeout, "target-latency-ms": target, "priority": 1,
+                     "service": service, "retry-attempts": 2}
+            if staleness is not None:
+                route["max-staleness-ms"] = staleness
+            routes.append(route)
     return {
         "version": 7,
         "routes": routes,
         "services": [{"name": service, "health-check-path": "/health",
                       "connection-limit": CONNECTION_LIMIT, "protocol": "own",
-                      "synchronous-replicas": synchronous}],
+                      "synchronous-replicas": synchronous} for service in services],
         "limits": {"transaction-idle-ms": 3000},
     }
--- a/review/stand_in/group.py
+++ b/review/stand_in/group.py
@@ -216,7 +216,9 @@
         if self._lost_lead():
             return [], "READONLY"
         if verb == "READ":
-            self.group.record.note("ran", server=server.instance, id=query_id, text=text)
+            self.group.record.note("ran", server=server.instance, id=query_id, text=text,
+                                   applied=server.applied)
+            self.group.reads[query_id] = server.applied
             return [f"log-{server.applied}"], None
         if server.role != "primary" or self.transaction == "read":
             return [], "READONLY"
@@ -271,6 +273,8 @@
         self.sequence = itertools.count(1)
         # Texts that a former primary committed after another server had been promoted.
         self.committed_late = []
+        # How much of the log a read was run on, by its id.
+        self.reads = {}
         self._changed = asyncio.Event()
         self._tasks = []
 
--- a/review/stand_in/network.py
+++ b/review/stand_in/network.py
@@ -10,10 +10,15 @@
 
 
 class Link:
-    def __init__(self, target):
-        self.target = target  # the port of the far end
+    """`delay_s`: how long bytes and datagrams take one way."""
+
+    def __init__(self, target, delay_s=0.0):
+        self.target, self.delay_s = target, delay_s  # the target is the port of the far end
         self.is_cut = False
         self.refuses = False
+        # Called with each datagram that passes towards the far end, and with each one back.
+        self.on_datagram = None
+        self.on_answer = None
         self._ways = {}
         self._open = set()
 
@@ -57,6 +62,7 @@
     async def _pass(self, reader, writer):
         try:
             while data := await reader.read(65536):
+                await asyncio.sleep(self.delay_s)
                 await self._until_open()
                 writer.write(data)
                 await writer.drain()
@@ -68,9 +74,12 @@
 
     def to_far(self, data, sender):
         if not self.is_cut:
+            if self.on_datagram:
+                self.on_datagram(data)
             asyncio.ensure_future(self._to_far(data, sender))
 
     async def _to_far(self, data, sender):
+        await asyncio.sleep(self.delay_s)
         if sender not in self._ways:
             loop = asyncio.get_running_loop()
             self._ways[sender], _ = await loop.create_datagram_endpoint(
@@ -79,7 +88,10 @@
 
     def to_near(self, data, sender):
         if not self.is_cut:
-            self._datagrams.sendto(data, sender)
+            if self.on_answer:
+                self.on_answer(data)
+            asyncio.get_running_loop().call_later(
+                self.delay_s, self._datagrams.sendto, data, sender)
 
 
 class NearSide(asyncio.DatagramProtocol):
--- a/review/stand_in/promotion.py
+++ b/review/stand_in/promotion.py
@@ -1,4 +1,4 @@
-"""The platform's promotion service of one group, which doesn't check fencing tokens."""
+"""The platform's promotion service, which doesn't check fencing tokens."""
 
 import asyncio
 import json
@@ -10,8 +10,8 @@
 
 
 class Promotions:
-    def __init__(self, group, record):
-        self.group, self.record = group, record
+    def __init__(self, groups, record):
+        self.groups, self.record = {group.name: group for group in groups}, record
         self.calls = []  # (fence, instance, holder) in the order of their arrival
 
     async def start(self):
@@ -20,17 +20,18 @@
     async def _handle(self, method, path, query, headers, body):
         if (method, path) != ("POST", "/promotion"):
             return 404, {}
-        instance = json.loads(body)["instance-id"]
+        call = json.loads(body)
+        group, instance = self.groups[call["service"]], call["instance-id"]
         fence = int(headers["spurpier-fencing-token"])
         holder = headers["spurpier-duty-holder"]
         highest = max((known for known, _, _ in self.calls), default=0)
         self.calls.append((fence, instance, holder))
         self.record.note("promotion-called", server=instance, fence=fence, holder=holder,
                          highest_before=highest)
-        server = self.group.servers.get(instance)
+        server = group.servers.get(instance)
         if server is None or not server.running:
             self.record.note("promotion-refused", server=instance, fence=fence)
             return 409, {}
         await asyncio.sleep(PROMOTE_S)
-        self.group.promote(instance)
+        group.promote(instance)
         return 200, {}
