Review: a fault of a script ends it with 2, not with 1

Cause: an exception in a case's script ended Python with 1, which says that the rule was broken; a run past its time limit ended with 124. The cases themselves are as they were.

--- a/review/stand_in/case.py
+++ b/review/stand_in/case.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import tempfile
+import traceback
 
 from .deployment import CannotRun
 from .record import Record
@@ -22,9 +23,13 @@
     temporary = tempfile.mkdtemp(prefix="review-")
     try:
         code = BROKEN if asyncio.run(play(record, temporary, trouble)) else HELD
-    except (CannotRun, OSError) as error:
+    except CannotRun as error:
         record.note("could-not-run", why=error)
         code = CANNOT_RUN
+    except Exception as error:  # a fault of the script must not count as a broken rule
+        record.note("could-not-run", why=repr(error))
+        traceback.print_exc()
+        code = CANNOT_RUN
     finally:
         # The nodes' own logs are kept on request.
         if "KEEP_LOGS" in os.environ:
