Count the successor's vote over a recorded set of replicas

Cause: a successor is safe by counting which servers did not report what they received. The count was over the servers that the deciding process had seen listed. A process that has just started has seen only those that are listed at that moment, so that a replica which holds commits and is not listed again yet, or is partitioned from the store, was neither asked nor counted.

Ruled out: a replica that reports a wrong position (the log of the case: it reports 2 of 5, truthfully); the missing delay for entries that return (true, but in a test whose entry never returns the same promotion happens).

Change: the store keeps, for each group with synchronous replicas, the servers that may hold acknowledged commits, with their addresses. Homes add servers as they are listed, and remove one only once it has ended and enough others hold what the primary reports after that. A decision on a lost primary counts that set and is stored on the condition that it has not changed. Where the lost primary is not known, it is a member, and one more may be unreported. Groups without synchronous replicas cause no call. Event 6048 names who reported and who did not, which the logs could not tell before.

--- a/crates/spurpier-core/src/leader/failover.rs
+++ b/crates/spurpier-core/src/leader/failover.rs
@@ -100,15 +100,45 @@
     pub placement_score: u64,
 }
 
+impl SuccessorCandidate {
+    /// A server that cannot be asked and may hold acknowledged commits.
+    pub const UNASKABLE: SuccessorCandidate = SuccessorCandidate {
+        received: None,
+        eligible: false,
+        placement_score: 0,
+    };
+}
+
+/// Whether the primary that is replaced is known, so that it is not among the candidates.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FormerPrimary {
+    /// It is known and not among the candidates.
+    Excluded,
+    /// It is not known, and any candidate may be it.
+    Unknown,
+}
+
+impl FormerPrimary {
+    /// How many candidates may leave their position unreported: fewer than store each acknowledged
+    /// commit.
+    const fn max_unreported(self, synchronous_replicas: usize) -> usize {
+        match self {
+            FormerPrimary::Excluded => synchronous_replicas - 1,
+            FormerPrimary::Unknown => synchronous_replicas,
+        }
+    }
+}
+
 /// The index of the replica that takes over: the eligible one that has received most.
 ///
-/// With `synchronous_replicas` above zero, an acknowledged commit is stored on at least that many
-/// replicas. The successor is certain to hold it if at most `synchronous_replicas - 1` replicas did
-/// not report what they received, and no ineligible replica has received more. Otherwise the
-/// result is `None`.
+/// With `synchronous_replicas` above zero, the candidates must include every server that may hold
+/// an acknowledged commit. Such a commit is stored on the primary and on at least that many
+/// replicas. The successor is certain to hold it if fewer candidates than that did not report what
+/// they received, and no ineligible candidate has received more. Otherwise the result is `None`.
 pub fn choose_successor(
     candidates: &[SuccessorCandidate],
     synchronous_replicas: usize,
+    former: FormerPrimary,
 ) -> Option<usize> {
     let eligible = candidates.iter().enumerate();
     let eligible = eligible.filter(|(_, candidate)| candidate.eligible);
@@ -123,6 +153,7 @@
         .filter(|candidate| candidate.received.is_none())
         .count();
     let furthest = candidates.iter().map(|candidate| candidate.received).max();
-    let holds_all = unreported < synchronous_replicas && furthest == Some(best.received);
+    let holds_all = unreported <= former.max_unreported(synchronous_replicas)
+        && furthest == Some(best.received);
     holds_all.then_some(index)
 }
--- a/crates/spurpier-core/src/leader/mod.rs
+++ b/crates/spurpier-core/src/leader/mod.rs
@@ -14,12 +14,13 @@
 mod promotion_lease;
 mod proofs;
 mod read_routing;
+mod replica_set;
 mod view;
 
 pub use candidate::{LeaderCandidate, choose_leader_candidate};
 pub use failover::{
-    FailoverDecision, MissingPrimary, PARTITION_TIMEOUT, PrimaryObservation, SuccessorCandidate,
-    choose_successor, decide_failover,
+    FailoverDecision, FormerPrimary, MissingPrimary, PARTITION_TIMEOUT, PrimaryObservation,
+    SuccessorCandidate, choose_successor, decide_failover,
 };
 pub use homes::{MAX_HOMES, RankedNode, WeightedScore, homes_per_zone, rank_homes};
 pub use lease::{
@@ -29,4 +30,8 @@
 pub use promotion_lease::{HolderStatus, PromotionLeaseRow, PromotionStep, next_promotion_step};
 pub use proofs::{LeadershipProof, LeadershipProofs, SessionCommit, read_floor};
 pub use read_routing::{Distance, ObservedPosition, ServerLoad, choose_read_server};
+pub use replica_set::{
+    MissingReplicas, REPLICA_END_TIMEOUT, REPLICA_RETURN_TIMEOUT, ReplicaLocation, ReplicaSet,
+    counted_servers, may_remove_ended,
+};
 pub use view::{LeaderView, ProofError};
--- a/crates/spurpier-core/tests/incarnation_model/mod.rs
+++ b/crates/spurpier-core/tests/incarnation_model/mod.rs
@@ -10,7 +10,7 @@
     Incarnation, Roster, RosterChange, RosterRow, RowContent, ServerEndpoint,
 };
 use spurpier_core::leader::{
-    LeaderView, LeadershipProof, Succession, SuccessorCandidate, choose_successor,
+    FormerPrimary, LeaderView, LeadershipProof, Succession, SuccessorCandidate, choose_successor,
 };
 use spurpier_core::position::Position;
 use spurpier_core::store_version::StoreVersion;
@@ -496,10 +496,9 @@
                 placement_score: 0,
             })
             .collect();
-        let chosen = endpoints
-            .iter()
-            .find(leads)
-            .or_else(|| choose_successor(&candidates, 0).map(|index| &endpoints[index]));
+        let chosen = endpoints.iter().find(leads).or_else(|| {
+            choose_successor(&candidates, 0, FormerPrimary::Excluded).map(|index| &endpoints[index])
+        });
         let Some(chosen) = chosen.filter(|chosen| received(chosen).is_some()) else {
             return;
         };
--- a/crates/spurpier-core/tests/lead.rs
+++ b/crates/spurpier-core/tests/lead.rs
@@ -5,9 +5,9 @@
 
 use spurpier_core::homes::subject_digest;
 use spurpier_core::leader::{
-    Distance, FailoverDecision, HolderStatus, LeaderCandidate, LeadershipProof, LeadershipProofs,
-    MissingPrimary, ObservedPosition, PARTITION_TIMEOUT, PrimaryObservation, PromotionLeaseRow,
-    PromotionStep, RankedNode, ServerLoad, SessionCommit, SuccessorCandidate,
+    Distance, FailoverDecision, FormerPrimary, HolderStatus, LeaderCandidate, LeadershipProof,
+    LeadershipProofs, MissingPrimary, ObservedPosition, PARTITION_TIMEOUT, PrimaryObservation,
+    PromotionLeaseRow, PromotionStep, RankedNode, ServerLoad, SessionCommit, SuccessorCandidate,
     choose_leader_candidate, choose_read_server, choose_successor, decide_failover, homes_per_zone,
     next_promotion_step, rank_homes, read_floor,
 };
@@ -313,10 +313,13 @@
         ..candidate(Some(offset), true)
     };
     let equal = [placed(5, 1), placed(5, 9), placed(5, 2)];
-    assert_eq!(choose_successor(&equal, 0), Some(1));
+    assert_eq!(
+        choose_successor(&equal, 0, FormerPrimary::Excluded),
+        Some(1)
+    );
     let ahead = [placed(5, 9), placed(6, 0)];
     assert_eq!(
-        choose_successor(&ahead, 0),
+        choose_successor(&ahead, 0, FormerPrimary::Excluded),
         Some(1),
         "the most advanced replica takes over whatever its score, so that nothing is lost"
     );
@@ -330,19 +333,37 @@
         candidate(Some(7), true),
         candidate(None, true),
     ];
-    assert_eq!(choose_successor(&candidates, 0), Some(2));
-    assert_eq!(choose_successor(&[candidate(Some(5), false)], 0), None);
+    assert_eq!(
+        choose_successor(&candidates, 0, FormerPrimary::Excluded),
+        Some(2)
+    );
+    assert_eq!(
+        choose_successor(&[candidate(Some(5), false)], 0, FormerPrimary::Excluded),
+        None
+    );
 }
 
 #[test]
 fn with_synchronous_replicas_the_successor_holds_every_acknowledged_commit() {
     let all_reported = [candidate(Some(5), true), candidate(Some(7), true)];
-    assert_eq!(choose_successor(&all_reported, 1), Some(1));
+    assert_eq!(
+        choose_successor(&all_reported, 1, FormerPrimary::Excluded),
+        Some(1)
+    );
     let one_unreported = [candidate(Some(5), true), candidate(None, true)];
-    assert_eq!(choose_successor(&one_unreported, 1), None);
-    assert_eq!(choose_successor(&one_unreported, 2), Some(0));
+    assert_eq!(
+        choose_successor(&one_unreported, 1, FormerPrimary::Excluded),
+        None
+    );
+    assert_eq!(
+        choose_successor(&one_unreported, 2, FormerPrimary::Excluded),
+        Some(0)
+    );
     let leaving_has_more = [candidate(Some(5), true), candidate(Some(7), false)];
-    assert_eq!(choose_successor(&leaving_has_more, 1), None);
+    assert_eq!(
+        choose_successor(&leaving_has_more, 1, FormerPrimary::Excluded),
+        None
+    );
 }
 
 fn row_of(holder: &str) -> PromotionLeaseRow {
--- a/crates/spurpier-pipeline/src/configuration/mod.rs
+++ b/crates/spurpier-pipeline/src/configuration/mod.rs
@@ -144,6 +144,12 @@
         groups.any(|group| group.cold_per_second.is_some())
     }
 
+    /// Whether any group acknowledges commits only once replicas have received them.
+    pub fn has_synchronous_replicas(&self) -> bool {
+        let mut groups = self.configuration.groups.iter();
+        groups.any(|group| group.synchronous_replicas > 0)
+    }
+
     /// Returns the connection limit of each server of a group; none if the group is not known.
     pub fn connections(&self, group: &str) -> Option<usize> {
         self.groups.get(group).map(|group| group.connections)
--- a/crates/spurpier-pipeline/src/context.rs
+++ b/crates/spurpier-pipeline/src/context.rs
@@ -29,6 +29,7 @@
     ClientDialect, EntryFormat, MetadataStore, PromotionService, ServerDialect, Table,
 };
 use crate::quota::Quotas;
+use crate::replica_sets::ReplicaSets;
 use crate::server::{OpenPools, Server};
 use crate::settings::PipelineSettings;
 
@@ -100,6 +101,8 @@
     pub homes: Homes,
     /// Where units of work may run.
     pub locality: Locality,
+    /// The servers of groups with synchronous replicas that may hold acknowledged commits.
+    pub replica_sets: ReplicaSets,
     /// Permits to start operations of tenants.
     pub quotas: Quotas,
     /// Permits to send messages to cold servers.
--- a/crates/spurpier-pipeline/src/directory/mod.rs
+++ b/crates/spurpier-pipeline/src/directory/mod.rs
@@ -200,6 +200,9 @@
         }
         state.set_aside.remove(entry.incarnation.name());
         let group = self.context.group(&entry.group);
+        self.context
+            .replica_sets
+            .record_listed(&group.name, &entry.incarnation);
         group.remove_other_incarnations(&entry.incarnation);
         match group.server(&entry.incarnation) {
             Some(server) => self.update(&group, &server, entry, version),
@@ -244,30 +247,16 @@
                 role = format!("{:?}", entry.role)
             );
         }
-        let zone_gate = context.locality.evacuations.gate(&entry.zone);
-        let target = Target {
-            address: entry.address,
-            group: entry.group.clone(),
-            incarnation: entry.incarnation.clone(),
-            zone_gate: Arc::clone(&zone_gate),
-            cold_gate: ColdGate::new(&context.cold, &entry, zone_gate),
-        };
-        target.cold_gate.record_entry(entry.cold_for, version);
-        let dialect = Arc::clone(&context.server_dialect);
-        let limit = connection_share(context, &group.name, &entry.zone);
-        let clock = context.clock.clone();
-        let open_pools = Arc::clone(&context.open_pools);
-        let pool = Pool::new(target, dialect, clock, open_pools, limit);
-        let distance = context.distance(&entry.zone);
         let leaving_since = entry.draining.then(|| context.clock.now());
-        let listing = Listing {
-            entry,
-            version,
-            leaving_since,
-            gone: false,
-        };
-        let clock = context.clock.clone();
-        group.add(Arc::new(Server::new(listing, distance, pool, clock)));
+        group.add(new_server(
+            context,
+            Listing {
+                entry,
+                version,
+                leaving_since,
+                gone: false,
+            },
+        ));
     }
 
     fn update(&self, group: &Group, server: &Server, entry: ServerEntry, version: StoreVersion) {
@@ -361,6 +350,29 @@
     }
 }
 
+/// Creates a server with an empty pool.
+pub fn new_server(context: &Context, listing: Listing) -> Arc<Server> {
+    let entry = &listing.entry;
+    let zone_gate = context.locality.evacuations.gate(&entry.zone);
+    let target = Target {
+        address: entry.address,
+        group: entry.group.clone(),
+        incarnation: entry.incarnation.clone(),
+        zone_gate: Arc::clone(&zone_gate),
+        cold_gate: ColdGate::new(&context.cold, entry, zone_gate),
+    };
+    let cold_gate = &target.cold_gate;
+    cold_gate.record_entry(entry.cold_for, listing.version);
+    let dialect = Arc::clone(&context.server_dialect);
+    let limit = connection_share(context, &entry.group, &entry.zone);
+    let clock = context.clock.clone();
+    let open_pools = Arc::clone(&context.open_pools);
+    let pool = Pool::new(target, dialect, clock, open_pools, limit);
+    let distance = context.distance(&entry.zone);
+    let clock = context.clock.clone();
+    Arc::new(Server::new(listing, distance, pool, clock))
+}
+
 /// The metric label value for rows whose group is not configured.
 const UNKNOWN_GROUP: &str = "unknown_group";
 
@@ -449,7 +461,7 @@
 }
 
 /// How long after the store is available again an expired server row may take to reappear.
-const ENTRY_RETURN_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub const ENTRY_RETURN_TIMEOUT: Duration = Duration::from_millis(2_500);
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/spurpier-pipeline/src/follow/timeouts.rs
+++ b/crates/spurpier-pipeline/src/follow/timeouts.rs
@@ -52,7 +52,7 @@
                     evacuated.map(|bound| bound.saturating_sub(MAX_STORE_LAG + DELIVERY_MARGIN));
                 closed.map_or(applied, |closed| applied.min(closed))
             }
-            Table::Servers | Table::Cluster | Table::Duty => PROPAGATION_BOUND,
+            Table::Servers | Table::Cluster | Table::Duty | Table::ReplicaSets => PROPAGATION_BOUND,
         };
         let wait = propagation_bound.saturating_sub(CHANGES_SLACK);
         FollowTimeouts {
--- a/crates/spurpier-pipeline/src/lib.rs
+++ b/crates/spurpier-pipeline/src/lib.rs
@@ -28,6 +28,7 @@
 mod promotion;
 mod quota;
 mod readiness;
+mod replica_sets;
 mod server;
 pub mod server_rows;
 mod session;
--- a/crates/spurpier-pipeline/src/node.rs
+++ b/crates/spurpier-pipeline/src/node.rs
@@ -38,6 +38,7 @@
 use crate::promotion::{Peers, report_demand_and_decide_moves, watch_groups};
 use crate::quota::{Quotas, start_quota_shards};
 use crate::readiness;
+use crate::replica_sets::{ReplicaSets, keep_replica_sets};
 use crate::session::serve_client;
 use crate::settings::{ListenSettings, PipelineSettings};
 
@@ -186,6 +187,7 @@
             retry_budget: Mutex::new(RetryBudget::new(RETRY_BUDGET, clock.now())),
             homes: Homes::new(&parts.settings),
             locality: Locality::new(&parts.settings, &clock),
+            replica_sets: ReplicaSets::default(),
             quotas: Quotas::new(&parts.settings),
             cold,
             settings: parts.settings,
@@ -249,6 +251,7 @@
         Arc::clone(context),
         Arc::clone(&peers),
     ));
+    tokio::spawn(keep_replica_sets(Arc::clone(context)));
     tokio::spawn(watch_groups(Arc::clone(context), peers, wanted));
 }
 
--- a/crates/spurpier-pipeline/src/ports/mod.rs
+++ b/crates/spurpier-pipeline/src/ports/mod.rs
@@ -24,7 +24,7 @@
     Answer, Completion, Effect, ErrorClass, Request, ServerError, Statement, TransactionState,
 };
 pub use store::{
-    Condition, MetadataStore, ReadRows, Row, Shard, StoreError, Table, TransactOutcome,
+    Condition, MetadataStore, ReadRow, ReadRows, Row, Shard, StoreError, Table, TransactOutcome,
     Transaction, Write,
 };
 pub use tenant::{KeyDigest, Quota, Tenant};
--- a/crates/spurpier-pipeline/src/ports/store.rs
+++ b/crates/spurpier-pipeline/src/ports/store.rs
@@ -22,6 +22,8 @@
     /// The holder of the promotion lease, and the nodes that have released their leader lease for
     /// a decision.
     Duty,
+    /// For each group with synchronous replicas, the servers that may hold acknowledged commits.
+    ReplicaSets,
 }
 
 /// Number of shards that the nodes' entries are distributed over.
@@ -38,7 +40,8 @@
 pub enum Shard {
     /// Rows written by the platform and the operator.
     Platform,
-    /// The holder of the promotion lease and the successions that were decided.
+    /// The holder of the promotion lease, the successions that were decided, and the replica sets
+    /// that decisions rely on.
     Duty,
     /// The entries of the nodes whose names hash to this shard index.
     Nodes(u8),
@@ -49,7 +52,7 @@
     pub fn all(table: Table) -> Vec<Shard> {
         match table {
             Table::Configuration | Table::Servers => vec![Shard::Platform],
-            Table::Duty => vec![Shard::Duty],
+            Table::Duty | Table::ReplicaSets => vec![Shard::Duty],
             Table::Cluster => {
                 let nodes = (0..NODE_SHARDS).map(Shard::Nodes);
                 nodes.chain([Shard::Duty]).collect()
@@ -88,6 +91,15 @@
     pub now: Option<Duration>,
 }
 
+/// The state of one row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReadRow {
+    /// Its value; `None` if there is no such row.
+    pub value: Option<Bytes>,
+    /// The version that a transaction expects if the row has not changed since.
+    pub version: StoreVersion,
+}
+
 /// One change of a transaction.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Write {
@@ -177,6 +189,14 @@
         progress: &Progress,
     ) -> BoxFuture<'static, Result<ReadRows, StoreError>>;
 
+    /// Reads one row.
+    fn read_row(
+        &self,
+        table: Table,
+        shard: Shard,
+        key: &str,
+    ) -> BoxFuture<'static, Result<ReadRow, StoreError>>;
+
     /// Waits up to `wait` for rows of a table that changed after a version.
     fn changes(
         &self,
--- a/crates/spurpier-pipeline/src/promotion/hand_over.rs
+++ b/crates/spurpier-pipeline/src/promotion/hand_over.rs
@@ -38,7 +38,7 @@
         // Names the former primary in the decision: a node that takes over the promotion could not
         // query its position once the zone is closed.
         let deposed = former.is_evacuated().then_some(&*former);
-        let Some(decision) = self.decide(lease, &successor, deposed).await else {
+        let Some(decision) = self.decide(lease, &successor, deposed, None).await else {
             return;
         };
         let successor = successor.server;
@@ -110,7 +110,7 @@
             server: Arc::clone(former),
             received,
         };
-        let Some(decision) = self.decide(&state.lease, &reinstated, None).await else {
+        let Some(decision) = self.decide(&state.lease, &reinstated, None, None).await else {
             return;
         };
         let peers = Arc::clone(&self.peers);
--- a/crates/spurpier-pipeline/src/promotion/lease.rs
+++ b/crates/spurpier-pipeline/src/promotion/lease.rs
@@ -153,7 +153,7 @@
 
 /// Stores the decision that a server takes over its group, under the next fencing token, on the
 /// condition that the lease's row has not changed since it was read. `deposed` is the primary that
-/// steps down and stays in service.
+/// steps down and stays in service. `counted` is a further condition, read in the same era.
 ///
 /// Returns `None` if the row has changed or the outcome is unknown. The row must then be read
 /// again, since a call without an answer may still be executed later.
@@ -163,7 +163,12 @@
     group: &Group,
     successor: &Successor,
     deposed: Option<&Server>,
+    counted: Option<Condition>,
 ) -> Option<Decision> {
+    let is_same_era = |condition: &Condition| condition.version.era() == known.version.era();
+    if !counted.as_ref().is_none_or(is_same_era) {
+        return None;
+    }
     let own_name = &context.settings.node.name;
     let next = PromotionLeaseRow::next(known.row.as_ref(), own_name, known.version.era());
     let succession = Succession {
@@ -190,7 +195,8 @@
         },
     ];
     let sent_at = context.clock.now();
-    let Some(version) = commit(context, vec![condition], writes).await else {
+    let conditions = [condition].into_iter().chain(counted).collect();
+    let Some(version) = commit(context, conditions, writes).await else {
         log_event!(events::PROMOTION_LEASE_REFUSED, token = next.token);
         return None;
     };
--- a/crates/spurpier-pipeline/src/promotion/mod.rs
+++ b/crates/spurpier-pipeline/src/promotion/mod.rs
@@ -19,4 +19,5 @@
 pub use self::lease::restore_succession;
 pub use self::peers::Peers;
 pub use self::round::report_release_by_store;
+pub use self::successor::{await_position, status_of};
 pub use self::watch::watch_groups;
--- a/crates/spurpier-pipeline/src/promotion/successor.rs
+++ b/crates/spurpier-pipeline/src/promotion/successor.rs
@@ -16,6 +16,7 @@
 use crate::ports::{
     FencingToken, Promotion, PromotionAnswer, ServerRequest, ServerRole, ServerStatus, StoreError,
 };
+use crate::replica_sets::ServerCount;
 use crate::server::{ConnectionNeed, Server, Values};
 use crate::unit::{LeasedConnection, internal_attempt};
 
@@ -87,45 +88,75 @@
     context.server_dialect.read_status(&answered.answer)
 }
 
-/// Sends a request to all servers but the former primary, concurrently.
-///
-/// Where commits wait for replicas, servers that have just left the directory are included: they
-/// may hold acknowledged commits.
-async fn ask_replicas(
+/// Sends a request to the servers concurrently.
+async fn ask(
     context: &Context,
-    group: &Group,
-    former: Option<&Server>,
+    servers: &[Arc<Server>],
     request: ServerRequest<'static>,
 ) -> Vec<ServerReport> {
-    let former = former.map(|server| &server.incarnation);
-    let with_gone = group.synchronous_replicas() > 0;
-    let replicas = group.servers().into_iter();
-    let replicas = replicas
-        .filter(|server| Some(&server.incarnation) != former)
-        .filter(|server| with_gone || !server.is_gone());
-    let queries = replicas.map(|server| async move {
-        let status = send_request(context, &server, request).await;
+    let queries = servers.iter().map(|server| async move {
+        let status = send_request(context, server, request).await;
+        let server = Arc::clone(server);
         ServerReport { server, status }
     });
     futures::future::join_all(queries).await
 }
 
-fn choose(context: &Context, group: &Group, reports: &[ServerReport]) -> Option<Successor> {
+fn choose(
+    context: &Context,
+    group: &Group,
+    count: &ServerCount,
+    reports: &[ServerReport],
+) -> Option<Successor> {
     let now = context.clock.now();
     let locality = &context.locality;
-    let candidates: Vec<SuccessorCandidate> = reports
+    let asked = reports.iter().map(|report| SuccessorCandidate {
+        received: report.status.as_ref().map(|status| status.received),
+        eligible: report.server.is_staying() && locality.is_eligible_successor(&report.server, now),
+        placement_score: locality.placement_score(group, &report.server, now),
+    });
+    let unaskable = count
+        .unaskable
         .iter()
-        .map(|report| SuccessorCandidate {
-            received: report.status.as_ref().map(|status| status.received),
-            eligible: report.server.is_staying()
-                && locality.is_eligible_successor(&report.server, now),
-            placement_score: locality.placement_score(group, &report.server, now),
-        })
-        .collect();
-    let chosen = choose_successor(&candidates, group.synchronous_replicas())?;
+        .map(|_| SuccessorCandidate::UNASKABLE);
+    let candidates: Vec<SuccessorCandidate> = asked.chain(unaskable).collect();
+    let chosen = choose_successor(&candidates, group.synchronous_replicas(), count.former);
+    let Some(chosen) = chosen else {
+        log_unreported(context, group, count, reports);
+        return None;
+    };
+    let chosen = reports.get(chosen)?;
     // A server that does not answer may not be running.
-    reports[chosen].status.as_ref()?;
-    Some(reports[chosen].as_successor())
+    chosen.status.as_ref()?;
+    Some(chosen.as_successor())
+}
+
+/// Logs which servers did not report, if commits wait for replicas.
+fn log_unreported(context: &Context, group: &Group, count: &ServerCount, reports: &[ServerReport]) {
+    if group.synchronous_replicas() == 0 {
+        return;
+    }
+    let now = context.clock.now();
+    let Some(suppressed) = context.log_budget.take(events::REPLICAS_UNREPORTED, now) else {
+        return;
+    };
+    let reported = reports.iter().filter(|report| report.status.is_some());
+    let reported =
+        reported.map(|report| format!("{} {}", report.server.incarnation, report.received()));
+    let reported: Vec<String> = reported.collect();
+    let unreported = reports.iter().filter(|report| report.status.is_none());
+    let unreported = unreported.map(|report| &report.server.incarnation);
+    let unreported = unreported
+        .chain(&count.unaskable)
+        .map(Incarnation::to_string);
+    let unreported: Vec<String> = unreported.collect();
+    log_event!(
+        events::REPLICAS_UNREPORTED,
+        group = group.name,
+        reported = reported.join(", "),
+        unreported = unreported.join(", "),
+        suppressed = suppressed
+    );
 }
 
 /// The server that is to take over from a lost primary; `None` if there is none yet.
@@ -135,9 +166,9 @@
 pub async fn find_successor(
     context: &Context,
     group: &Group,
-    former: Option<&Server>,
+    count: &ServerCount,
 ) -> Option<Successor> {
-    let reports = ask_replicas(context, group, former, ServerRequest::Status).await;
+    let reports = ask(context, &count.servers, ServerRequest::Status).await;
     // A server that lacks what it held as the leader has restarted without its log.
     let leading = reports
         .iter()
@@ -145,7 +176,7 @@
     let leading = leading.max_by_key(|report| report.term());
     match leading.filter(|leading| leading.term() == newest_term(&reports)) {
         Some(leading) => Some(leading.as_successor()),
-        None => choose(context, group, &reports),
+        None => choose(context, group, count, &reports),
     }
 }
 
@@ -155,16 +186,16 @@
 pub async fn holds_all_acknowledged(
     context: &Context,
     group: &Group,
-    former: Option<&Server>,
+    count: &ServerCount,
     successor: &Server,
 ) -> bool {
     if group.synchronous_replicas() == 0 {
         return true;
     }
-    let reports = ask_replicas(context, group, former, ServerRequest::Status).await;
+    let reports = ask(context, &count.servers, ServerRequest::Status).await;
     let term = newest_term(&reports) + 1;
-    let reports = ask_replicas(context, group, former, ServerRequest::Pause { term }).await;
-    let chosen = choose(context, group, &reports);
+    let reports = ask(context, &count.servers, ServerRequest::Pause { term }).await;
+    let chosen = choose(context, group, count, &reports);
     let holds_all_acknowledged = chosen.is_some_and(|chosen| {
         let received = |wanted: &Incarnation| {
             let mut reports = reports.iter();
@@ -174,7 +205,7 @@
         received(&chosen.server.incarnation) == received(&successor.incarnation)
     });
     if !holds_all_acknowledged {
-        resume(context, group, former).await;
+        resume(context, group, count).await;
     }
     holds_all_acknowledged
 }
@@ -183,9 +214,9 @@
 ///
 /// Needed also after a promotion: one that changes nothing, since the successor leads already, does
 /// not resume them.
-pub async fn resume(context: &Context, group: &Group, former: Option<&Server>) {
+pub async fn resume(context: &Context, group: &Group, count: &ServerCount) {
     if group.synchronous_replicas() > 0 {
-        ask_replicas(context, group, former, ServerRequest::Resume).await;
+        ask(context, &count.servers, ServerRequest::Resume).await;
     }
 }
 
@@ -198,8 +229,9 @@
     group: &Group,
     former: &Arc<Server>,
 ) -> Option<Successor> {
-    let reports = ask_replicas(context, group, Some(former), ServerRequest::Status).await;
-    let successor = choose(context, group, &reports)?;
+    let count = ServerCount::of_known(group, Some(former));
+    let reports = ask(context, &count.servers, ServerRequest::Status).await;
+    let successor = choose(context, group, &count, &reports)?;
     let status = send_request(context, former, ServerRequest::Status).await;
     let is_replica = status.is_some_and(|status| status.role == ServerRole::Replica);
     (!is_replica).then_some(successor)
@@ -216,7 +248,8 @@
     former: &Arc<Server>,
     region: &str,
 ) -> Option<Successor> {
-    let reports = ask_replicas(context, group, Some(former), ServerRequest::Status).await;
+    let count = ServerCount::of_known(group, Some(former));
+    let reports = ask(context, &count.servers, ServerRequest::Status).await;
     let now = context.clock.now();
     let locality = &context.locality;
     let is_in_region =
@@ -258,7 +291,8 @@
     former: &Arc<Server>,
     successor: &Arc<Server>,
 ) -> StepDownOutcome {
-    let reports = ask_replicas(context, group, None, ServerRequest::Status).await;
+    let servers = ServerCount::of_known(group, None).servers;
+    let reports = ask(context, &servers, ServerRequest::Status).await;
     let term = newest_term(&reports) + 1;
     let status = send_request(context, former, ServerRequest::StepDown { term }).await;
     let Some(status) = status.filter(|status| status.role == ServerRole::Replica) else {
--- a/crates/spurpier-pipeline/src/promotion/watch.rs
+++ b/crates/spurpier-pipeline/src/promotion/watch.rs
@@ -22,7 +22,8 @@
 use crate::events;
 use crate::group::Group;
 use crate::locality::{ExclusionReason, MoveReason};
-use crate::ports::{PromotionAnswer, StoreError};
+use crate::ports::{Condition, PromotionAnswer, StoreError};
+use crate::replica_sets::ServerCount;
 use crate::server::Server;
 use crate::unit::{NotRun, renew_proof};
 
@@ -303,8 +304,12 @@
         let (context, group) = (Arc::clone(&self.context), Arc::clone(&self.group));
         // A restarted successor may hold more than any other server, so it stays a candidate.
         let former = former.filter(|former| !group.is_restarted_successor(&former.incarnation));
-        let successor = find_successor(&context, &group, former.as_deref()).await;
-        let Some(successor) = successor else {
+        let count = ServerCount::of_recorded(&context, &group, former.as_deref()).await;
+        let Some(count) = count else {
+            tokio::time::sleep(UNDECIDED_DELAY).await;
+            return;
+        };
+        let Some(successor) = find_successor(&context, &group, &count).await else {
             // Each search queries all servers.
             tokio::time::sleep(UNDECIDED_DELAY).await;
             return;
@@ -313,7 +318,8 @@
             return;
         }
         let nobody_leads = self.made_last_decision(lease);
-        let Some(decision) = self.decide(lease, &successor, None).await else {
+        let counted = count.condition.clone();
+        let Some(decision) = self.decide(lease, &successor, None, counted).await else {
             return;
         };
         self.record_new_decision();
@@ -324,22 +330,23 @@
         }
         let successor = successor.server;
         let holds_all_acknowledged =
-            holds_all_acknowledged(&context, &group, former.as_deref(), &successor).await;
+            holds_all_acknowledged(&context, &group, &count, &successor).await;
         if holds_all_acknowledged && let Some(promotion) = round.wait_until_promotable().await {
             let answer = promote(&context, &group, &successor, decision.token()).await;
             drop(promotion);
-            resume(&context, &group, former.as_deref()).await;
+            resume(&context, &group, &count).await;
             self.handle_promotion_answer(&answer, former.as_deref())
                 .await;
         } else {
-            resume(&context, &group, former.as_deref()).await;
+            resume(&context, &group, &count).await;
             tokio::time::sleep(UNDECIDED_DELAY).await;
         }
         round.remove_stored_releases().await;
     }
 
     /// Stores the decision that a server takes over. From then on this node uses no other server.
-    /// The decision names the deposed primary if it stays in service.
+    /// The decision names the deposed primary if it stays in service. `counted` is the condition that
+    /// the servers which were counted for the decision have not changed.
     ///
     /// Only a node that is registered for the group decides, and it stays registered while its task
     /// runs. A newer decision thus waits for this node, and so for its promotion.
@@ -348,12 +355,20 @@
         lease: &KnownPromotionLease,
         successor: &Successor,
         deposed: Option<&Server>,
+        counted: Option<Condition>,
     ) -> Option<Decision> {
         if !self.context.holds_leader_lease(&self.group) {
             return None;
         }
-        let decision =
-            store_decision(&self.context, lease, &self.group, successor, deposed).await?;
+        let decision = store_decision(
+            &self.context,
+            lease,
+            &self.group,
+            successor,
+            deposed,
+            counted,
+        )
+        .await?;
         accept_succession(
             &self.context,
             &self.group,
