Compare the paused replicas again after the wait for leases

Cause: the deciding node paused the replicas and compared what they had received before it waited, for up to 11.2 s, for the leases of other nodes. A replica that restarts in that time receives again, and a node whose lease lasts acknowledges what the former primary commits with it.

Change: they are paused and compared once more after the wait. From then on no node holds a lease for the former primary. Groups without synchronous replicas are neither paused nor compared, as before.

--- a/crates/spurpier-pipeline/src/promotion/successor.rs
+++ b/crates/spurpier-pipeline/src/promotion/successor.rs
@@ -189,9 +189,6 @@
     count: &ServerCount,
     successor: &Server,
 ) -> bool {
-    if group.synchronous_replicas() == 0 {
-        return true;
-    }
     let reports = ask(context, &count.servers, ServerRequest::Status).await;
     let term = newest_term(&reports) + 1;
     let reports = ask(context, &count.servers, ServerRequest::Pause { term }).await;
--- a/crates/spurpier-pipeline/src/promotion/watch.rs
+++ b/crates/spurpier-pipeline/src/promotion/watch.rs
@@ -20,7 +20,7 @@
 use super::successor::{Successor, find_successor, holds_all_acknowledged, promote, resume};
 use crate::context::Context;
 use crate::events;
-use crate::group::Group;
+use crate::group::{Group, PromotionInProgress};
 use crate::locality::{ExclusionReason, MoveReason};
 use crate::ports::{Condition, PromotionAnswer, StoreError};
 use crate::replica_sets::ServerCount;
@@ -329,9 +329,8 @@
             round.record_step_down();
         }
         let successor = successor.server;
-        let holds_all_acknowledged =
-            holds_all_acknowledged(&context, &group, &count, &successor).await;
-        if holds_all_acknowledged && let Some(promotion) = round.wait_until_promotable().await {
+        let promotable = await_promotable(&context, &group, &count, &successor, &mut round).await;
+        if let Some(promotion) = promotable {
             let answer = promote(&context, &group, &successor, decision.token()).await;
             drop(promotion);
             resume(&context, &group, &count).await;
@@ -415,6 +414,33 @@
     }
 }
 
+/// Waits until the successor of a lost primary may be promoted. `None` if it may not, or if it may
+/// lack acknowledged commits.
+///
+/// What the servers have received is compared before and after the wait for leases. A replica that
+/// is paused before it and restarts meanwhile receives again, and a node whose lease lasts may
+/// acknowledge what it receives.
+async fn await_promotable<'a>(
+    context: &Context,
+    group: &Group,
+    count: &ServerCount,
+    successor: &Server,
+    round: &mut ReleaseRound<'a>,
+) -> Option<PromotionInProgress<'a>> {
+    if group.synchronous_replicas() == 0 {
+        return round.wait_until_promotable().await;
+    }
+    if !holds_all_acknowledged(context, group, count, successor).await {
+        return None;
+    }
+    drop(round.wait_until_promotable().await?);
+    if !holds_all_acknowledged(context, group, count, successor).await {
+        return None;
+    }
+    // The comparison takes time in which a newer decision may have been stored.
+    round.wait_until_promotable().await
+}
+
 fn leader_name(server: Option<&Server>) -> String {
     server.map_or_else(
         || "none".to_owned(),
