Match answers between nodes by process and group

Cause: requests over UDP are numbered from 1 in each process, and an answer was matched by its number and the sender's address. An answer to the former process, about another group, was recorded as a proof of the leadership of this one.

Ruled out: numbers that start at a random one.

Change: datagrams end with the origin of the request, the asking process and the group, which answers repeat. Answers that match none are dropped and counted.

--- a/crates/spurpier-pipeline/src/metrics.rs
+++ b/crates/spurpier-pipeline/src/metrics.rs
@@ -101,6 +101,7 @@
     missed_news: Family<Kind, Counter>,
     outdated_rows: Family<TableLabels, Counter>,
     table_ages: Family<TableLabels, Gauge>,
+    unmatched_answers: Counter,
 }
 
 impl fmt::Debug for Metrics {
@@ -134,6 +135,7 @@
             missed_news: Family::default(),
             outdated_rows: Family::default(),
             table_ages: Family::default(),
+            unmatched_answers: Counter::default(),
         };
         metrics.register();
         metrics
@@ -191,6 +193,13 @@
         let text =
             "Time since the store last reported on a table, in milliseconds; -1 before it did";
         registry.register("table_age_ms", text, self.table_ages.clone());
+        let text = "Answers of other nodes that came too late or to a former process";
+        registry.register("unmatched_answers", text, self.unmatched_answers.clone());
+    }
+
+    /// Counts an answer of another node to a request that is not pending.
+    pub fn count_unmatched_answer(&self) {
+        self.unmatched_answers.inc();
     }
 
     /// Sets the version of a configuration that was rejected because of errors.
--- a/crates/spurpier-pipeline/src/promotion/demand.rs
+++ b/crates/spurpier-pipeline/src/promotion/demand.rs
@@ -12,6 +12,7 @@
 
 use super::messages::{DemandReport, PeerMessage};
 use super::peers::{MAX_DATAGRAM_BYTES, Peers};
+use super::requests::MAX_ORIGIN_BYTES;
 use crate::context::Context;
 use crate::group::Group;
 use crate::homes::Home;
@@ -20,6 +21,8 @@
 /// some regions are reported, in one datagram for each group. Without such requests nothing is
 /// sent.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// The greatest size of a report of demand without the origin of the request.
+const MAX_DEMAND_BYTES: usize = MAX_DATAGRAM_BYTES - MAX_ORIGIN_BYTES;
 /// How many homes are contacted in turn until one answers.
 const MAX_CONTACTED_HOMES: usize = 3;
 
@@ -135,7 +138,7 @@
                 return;
             };
             let request = |request_id| demand_message(request_id, &group, &demand);
-            if !self.request(request, &[address]).await.is_empty() {
+            if !self.request(&group, request, &[address]).await.is_empty() {
                 return;
             }
         }
@@ -152,7 +155,7 @@
             group: group.to_owned(),
             demand: List(reports.clone()),
         };
-        if reports.pop().is_none() || message.serialize_bin().len() <= MAX_DATAGRAM_BYTES {
+        if reports.pop().is_none() || message.serialize_bin().len() <= MAX_DEMAND_BYTES {
             return message;
         }
     }
--- a/crates/spurpier-pipeline/src/promotion/mod.rs
+++ b/crates/spurpier-pipeline/src/promotion/mod.rs
@@ -11,6 +11,7 @@
 mod lease;
 mod messages;
 mod peers;
+mod requests;
 mod round;
 mod successor;
 mod watch;
--- a/crates/spurpier-pipeline/src/promotion/peers.rs
+++ b/crates/spurpier-pipeline/src/promotion/peers.rs
@@ -2,11 +2,9 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
-use nanoserde::{DeBin, SerBin};
 use spurpier_core::leader::{PrimaryObservation, Succession};
 use spurpier_core::position::Position;
 use tokio::net::UdpSocket;
@@ -14,6 +12,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::messages::{NamedSuccession, PeerMessage, decode_age, encode_age};
+use super::requests::{Answers, Datagram, Origin, Requests};
 use super::round::accept_succession;
 use crate::context::Context;
 use crate::group::Group;
@@ -31,17 +30,12 @@
 const RESEND_INTERVAL: Duration = Duration::from_millis(140);
 /// How long a connection attempt to a node that does not answer may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// How many answers to one request may be queued.
-const ANSWER_CAPACITY: usize = 1_024;
-
-type Answers = mpsc::Receiver<(SocketAddr, PeerMessage)>;
 
 /// The connection to the other nodes.
 pub struct Peers {
     context: Arc<Context>,
     socket: UdpSocket,
-    next_request_id: AtomicU64,
-    pending: Mutex<HashMap<u64, mpsc::Sender<(SocketAddr, PeerMessage)>>>,
+    requests: Requests,
     /// Names of groups for which other nodes request a decision.
     requested_groups: mpsc::Sender<String>,
 }
@@ -57,8 +51,7 @@
         Arc::new(Peers {
             context,
             socket,
-            next_request_id: AtomicU64::new(1),
-            pending: Mutex::default(),
+            requests: Requests::new(),
             requested_groups,
         })
     }
@@ -77,16 +70,22 @@
                 tokio::task::yield_now().await;
                 continue;
             };
-            if let Ok(message) = PeerMessage::deserialize_bin(&buffer[..length]) {
-                self.handle(message, from).await;
+            if let Ok(datagram) = Datagram::decode(&buffer[..length]) {
+                self.handle(datagram, from).await;
             }
         }
     }
 
-    async fn handle(self: &Arc<Self>, message: PeerMessage, from: SocketAddr) {
+    async fn handle(self: &Arc<Self>, datagram: Datagram, from: SocketAddr) {
+        let Datagram { message, origin } = datagram;
         match message {
             PeerMessage::AskPrimaryObservation { request_id, group } => {
-                tokio::spawn(Arc::clone(self).answer_primary_observation(request_id, group, from));
+                let peers = Arc::clone(self);
+                let answer = async move {
+                    let observation = peers.observe_primary(request_id, &group).await;
+                    peers.answer(observation, origin, from).await;
+                };
+                tokio::spawn(answer);
             }
             PeerMessage::AskDecision {
                 request_id,
@@ -99,8 +98,8 @@
                 if self.context.can_hold_promotion_lease()
                     && self.requested_groups.try_send(group).is_ok()
                 {
-                    self.send(&PeerMessage::Acknowledged { request_id }, from)
-                        .await;
+                    let answer = PeerMessage::Acknowledged { request_id };
+                    self.answer(answer, origin, from).await;
                 }
             }
             PeerMessage::AskLeaseRelease {
@@ -115,8 +114,8 @@
                 let group = self.context.group(&group);
                 if accept_succession(&self.context, &group, &succession, version) {
                     let token = group.token();
-                    self.send(&PeerMessage::LeaseReleased { request_id, token }, from)
-                        .await;
+                    let answer = PeerMessage::LeaseReleased { request_id, token };
+                    self.answer(answer, origin, from).await;
                 }
             }
             PeerMessage::Demand {
@@ -125,33 +124,31 @@
                 demand,
             } => {
                 if self.record_demand(&group, demand) {
-                    self.send(&PeerMessage::Acknowledged { request_id }, from)
-                        .await;
+                    let answer = PeerMessage::Acknowledged { request_id };
+                    self.answer(answer, origin, from).await;
                 }
             }
             PeerMessage::Ping { request_id } => {
-                self.send(&PeerMessage::Pong { request_id }, from).await;
+                self.answer(PeerMessage::Pong { request_id }, origin, from)
+                    .await;
             }
             PeerMessage::PrimaryObservation { request_id, .. }
             | PeerMessage::Acknowledged { request_id }
             | PeerMessage::LeaseReleased { request_id, .. }
             | PeerMessage::Pong { request_id } => {
-                let pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
-                if let Some(sender) = pending.get(&request_id) {
-                    // An answer beyond the capacity is a duplicate.
-                    let _ = sender.try_send((from, message));
+                if !self
+                    .requests
+                    .accept(request_id, message, origin.as_ref(), from)
+                {
+                    self.context.metrics.count_unmatched_answer();
                 }
             }
         }
     }
 
-    async fn answer_primary_observation(
-        self: Arc<Self>,
-        request_id: u64,
-        group: String,
-        from: SocketAddr,
-    ) {
-        let group = self.context.group(&group);
+    /// This node's observation of a group's primary, as the answer to a request.
+    async fn observe_primary(&self, request_id: u64, group: &str) -> PeerMessage {
+        let group = self.context.group(group);
         let clock = &self.context.clock;
         let asked_at = clock.now();
         let fresh_since = asked_at.saturating_sub(MAX_FRESH_PROOF_AGE);
@@ -161,17 +158,21 @@
         let now = clock.now();
         let proof = group.own_proof();
         let proof_age = proof.map(|proof| now.since(proof.sent_at));
-        let answer = PeerMessage::PrimaryObservation {
+        PeerMessage::PrimaryObservation {
             request_id,
             proof_age_ms: encode_age(proof_age),
             position: proof.map_or(Position::ZERO, |proof| proof.position),
-        };
-        self.send(&answer, from).await;
+        }
     }
 
-    async fn send(&self, message: &PeerMessage, to: SocketAddr) {
+    /// Answers a request with its own origin.
+    async fn answer(&self, message: PeerMessage, origin: Option<Origin>, to: SocketAddr) {
+        self.send(&Datagram { message, origin }.encode(), to).await;
+    }
+
+    async fn send(&self, datagram: &[u8], to: SocketAddr) {
         // A datagram that cannot be sent counts as lost.
-        let _ = self.socket.send_to(&message.serialize_bin(), to).await;
+        let _ = self.socket.send_to(datagram, to).await;
     }
 
     /// What the other homes of a group observe of its primary, and how many were asked.
@@ -186,7 +187,7 @@
             group: group.name.clone(),
         };
         let asked_at = self.context.clock.now();
-        let answers = self.request(request, &addresses).await;
+        let answers = self.request(&group.name, request, &addresses).await;
         let mut primary_observations = Vec::new();
         let mut relay = None;
         for home in homes {
@@ -231,7 +232,7 @@
             region,
         };
         match address {
-            Some(address) => !self.request(request, &[address]).await.is_empty(),
+            Some(address) => !self.request(group, request, &[address]).await.is_empty(),
             None => false,
         }
     }
@@ -244,7 +245,7 @@
         let holders = self.context.homes.lease_holders(&group.name, clock.now());
         let addresses: Vec<SocketAddr> = holders.iter().map(|holder| holder.address).collect();
         let request = |request_id| PeerMessage::Ping { request_id };
-        let answers = self.request(request, &addresses).await;
+        let answers = self.request(&group.name, request, &addresses).await;
         for address in &addresses {
             if !answers.contains_key(address) {
                 let (context, address) = (Arc::clone(&self.context), *address);
@@ -257,16 +258,19 @@
         answers.len() == addresses.len()
     }
 
-    /// Sends a request again and again until all nodes have answered or the timeout has passed.
+    /// Sends a request about a group again and again until all nodes have answered or the timeout has passed.
     pub async fn request(
         &self,
+        group: &str,
         request: impl FnOnce(u64) -> PeerMessage,
         addresses: &[SocketAddr],
     ) -> HashMap<SocketAddr, PeerMessage> {
-        let request_id = self.next_request_id.fetch_add(1, Ordering::Relaxed);
-        let request = request(request_id);
-        let (sender, mut receiver) = mpsc::channel(ANSWER_CAPACITY);
-        let _pending = PendingRequest::new(self, request_id, sender);
+        let (started, mut receiver) = self.requests.start(group);
+        let datagram = Datagram {
+            message: request(started.id),
+            origin: Some(started.origin.clone()),
+        };
+        let request = datagram.encode();
         let mut answers = HashMap::new();
         let end = Instant::now() + ANSWER_TIMEOUT;
         while answers.len() < addresses.len() && Instant::now() < end {
@@ -297,30 +301,3 @@
         }
     }
 }
-
-/// A request whose answers are awaited. Dropping it discards later answers.
-struct PendingRequest<'a> {
-    peers: &'a Peers,
-    request_id: u64,
-}
-
-impl<'a> PendingRequest<'a> {
-    fn new(
-        peers: &'a Peers,
-        request_id: u64,
-        sender: mpsc::Sender<(SocketAddr, PeerMessage)>,
-    ) -> Self {
-        let pending = &peers.pending;
-        let mut pending = pending.lock().unwrap_or_else(PoisonError::into_inner);
-        pending.insert(request_id, sender);
-        PendingRequest { peers, request_id }
-    }
-}
-
-impl Drop for PendingRequest<'_> {
-    fn drop(&mut self) {
-        let pending = &self.peers.pending;
-        let mut pending = pending.lock().unwrap_or_else(PoisonError::into_inner);
-        pending.remove(&self.request_id);
-    }
-}
--- a/crates/spurpier-pipeline/src/promotion/round.rs
+++ b/crates/spurpier-pipeline/src/promotion/round.rs
@@ -156,7 +156,10 @@
             version: self.decision.version,
             details: self.decision.succession.details(),
         };
-        let answers = self.peers.request(request, &addresses).await;
+        let answers = self
+            .peers
+            .request(&self.group.name, request, &addresses)
+            .await;
         for (address, answer) in answers {
             if let (Some(name), PeerMessage::LeaseReleased { token, .. }) =
                 (names.get(&address), answer)
