Keep a silent server in the replica set while it may receive

Cause: a recorded server that was missing from the directory for 5 s and did not answer was removed. Silence shows that this node does not reach it; its primary may go on counting what it receives. If the primary is lost for this node alone as well, a successor could be promoted that lacks what both have acknowledged.

Change: after 5 s a server has ended if its address refuses connections, which shows that nothing runs there; one that is silent only after the 30 s for which decisions wait for it.

--- a/crates/spurpier-core/src/leader/mod.rs
+++ b/crates/spurpier-core/src/leader/mod.rs
@@ -31,7 +31,7 @@
 pub use proofs::{LeadershipProof, LeadershipProofs, SessionCommit, read_floor};
 pub use read_routing::{Distance, ObservedPosition, ServerLoad, choose_read_server};
 pub use replica_set::{
-    MissingReplicas, REPLICA_END_TIMEOUT, REPLICA_RETURN_TIMEOUT, ReplicaLocation, ReplicaSet,
-    counted_servers, may_remove_ended,
+    MissingReplicas, REPLICA_END_TIMEOUT, REPLICA_RETURN_TIMEOUT, Reachability, ReplicaLocation,
+    ReplicaSet, counted_servers, may_remove_ended,
 };
 pub use view::{LeaderView, ProofError};
--- a/crates/spurpier-core/src/leader/replica_set.rs
+++ b/crates/spurpier-core/src/leader/replica_set.rs
@@ -21,12 +21,12 @@
 use crate::time::Timestamp;
 use crate::wire::{List, decode_address, decode_text, encode_address, encode_text};
 
-/// How long a recorded server that is not listed may leave status requests unanswered before it
-/// counts as ended. A primary drops the connection of a silent replica earlier, so that the replica
-/// no longer counts for acknowledgements.
+/// How long a recorded server must have been missing from the directory before it counts as ended
+/// if its address refuses connections. A server that restarts has listed itself again by then.
 pub const REPLICA_END_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long a decision waits for a recorded server that is not listed. Beyond that, a server that
-/// is lost for good would leave its group without a primary.
+/// How long a decision waits for a recorded server that is not listed, and for how long one that is
+/// silent is kept: it may be partitioned from this node and not from its primary. Beyond that, a
+/// server that is lost for good would leave its group without a primary.
 pub const REPLICA_RETURN_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Where a recorded server is reached.
@@ -117,6 +117,17 @@
     }
 }
 
+/// How a server that is missing from the directory answers a connection attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reachability {
+    /// It answers.
+    Answers,
+    /// Its address refuses connections: nothing runs there.
+    Refuses,
+    /// Nothing answers.
+    Silent,
+}
+
 /// How long the members of a replica set have been missing from the directory, as observed by one
 /// process.
 #[derive(Debug, Clone, Default)]
@@ -146,11 +157,21 @@
         since.is_none_or(|since| now.since(*since) < REPLICA_RETURN_TIMEOUT)
     }
 
-    /// The members that have been missing for so long that they have ended unless they answer.
+    /// The members that have been missing for so long that they may have ended.
     pub fn may_have_ended(&self, now: Timestamp) -> impl Iterator<Item = &Incarnation> {
-        let missing = self.since.iter();
-        let long = missing.filter(move |(_, since)| now.since(**since) >= REPLICA_END_TIMEOUT);
-        long.map(|(server, _)| server)
+        let missing = self.since.keys();
+        missing.filter(move |server| self.has_ended(server, Reachability::Refuses, now))
+    }
+
+    /// Whether a member has ended, given how it answers now.
+    pub fn has_ended(&self, server: &Incarnation, answer: Reachability, now: Timestamp) -> bool {
+        let required = match answer {
+            Reachability::Answers => return false,
+            Reachability::Refuses => REPLICA_END_TIMEOUT,
+            Reachability::Silent => REPLICA_RETURN_TIMEOUT,
+        };
+        let since = self.since.get(server);
+        since.is_some_and(|since| now.since(*since) >= required)
     }
 
     /// Whether no member is missing.
--- a/crates/spurpier-core/tests/replica_set.rs
+++ b/crates/spurpier-core/tests/replica_set.rs
@@ -7,8 +7,9 @@
 use nanoserde::{DeBin, SerBin};
 use spurpier_core::directory::Incarnation;
 use spurpier_core::leader::{
-    FormerPrimary, MissingReplicas, REPLICA_END_TIMEOUT, REPLICA_RETURN_TIMEOUT, ReplicaLocation,
-    ReplicaSet, SuccessorCandidate, choose_successor, counted_servers, may_remove_ended,
+    FormerPrimary, MissingReplicas, REPLICA_END_TIMEOUT, REPLICA_RETURN_TIMEOUT, Reachability,
+    ReplicaLocation, ReplicaSet, SuccessorCandidate, choose_successor, counted_servers,
+    may_remove_ended,
 };
 use spurpier_core::position::Position;
 use spurpier_core::time::Timestamp;
@@ -137,19 +138,31 @@
     assert_eq!(counted, BTreeSet::from([server("i-1")]));
 }
 
-/// Guards against a server that is taken for ended while the primary may still count its
-/// acknowledgements.
+/// Guards against a server that is taken for ended while it is only partitioned from this node, and
+/// its primary still counts what it receives.
 #[test]
-fn a_missing_member_has_ended_at_the_earliest_after_its_end_timeout() {
+fn a_missing_member_has_ended_if_it_refuses_connections_or_is_silent_for_long() {
     let mut missing = MissingReplicas::default();
     missing.update(&set_of(&["i-1"]), &BTreeSet::new(), Timestamp::ZERO);
-    let ended = Timestamp::ZERO + REPLICA_END_TIMEOUT;
-    let count = |now| missing.may_have_ended(now).count();
-    assert_eq!(
-        count(Timestamp::from_millis(ended.as_micros() / 1_000 - 1)),
-        0
-    );
-    assert_eq!(count(ended), 1);
+    let has_ended = |answer, after: Duration| {
+        missing.has_ended(&server("i-1"), answer, Timestamp::ZERO + after)
+    };
+    assert!(!has_ended(
+        Reachability::Refuses,
+        REPLICA_END_TIMEOUT - SHORTLY
+    ));
+    assert!(has_ended(Reachability::Refuses, REPLICA_END_TIMEOUT));
+    assert!(!has_ended(
+        Reachability::Silent,
+        REPLICA_RETURN_TIMEOUT - SHORTLY
+    ));
+    assert!(has_ended(Reachability::Silent, REPLICA_RETURN_TIMEOUT));
+    assert!(!has_ended(
+        Reachability::Answers,
+        2 * REPLICA_RETURN_TIMEOUT
+    ));
+    let candidates = missing.may_have_ended(Timestamp::ZERO + REPLICA_END_TIMEOUT);
+    assert_eq!(candidates.count(), 1);
 }
 
 /// Guards against the removal of a server that alone holds a commit beside the primary.
--- a/crates/spurpier-pipeline/src/replica_sets/keep.rs
+++ b/crates/spurpier-pipeline/src/replica_sets/keep.rs
@@ -2,16 +2,20 @@
 //! have ended once the others hold what they may have acknowledged.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use nanoserde::{DeBin, SerBin};
 use spurpier_core::directory::Incarnation;
-use spurpier_core::leader::{ReplicaLocation, ReplicaSet, Succession, may_remove_ended};
+use spurpier_core::leader::{
+    MissingReplicas, Reachability, ReplicaLocation, ReplicaSet, Succession, may_remove_ended,
+};
 use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use super::{RecordedSet, STORE_CALL_TIMEOUT, listed_servers, read_recorded, read_row, record};
@@ -36,6 +40,8 @@
 /// How long after a change of the listed servers the recorded set is read again. Longer than a call
 /// of another home may stay unanswered and be executed nevertheless.
 const LATE_CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a server may take to answer a connection attempt.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a replica may take to receive what the primary holds.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -191,7 +197,7 @@
         let Some(primary) = serving_primary(context, group).await else {
             return;
         };
-        let ended = ended_servers(context, group).await;
+        let ended = ended_servers(context, group, set).await;
         if ended.is_empty() || !others_hold_all(context, group, &primary.server).await {
             return;
         }
@@ -250,32 +256,55 @@
     })
 }
 
-/// The members that have been missing for long and do not answer.
-async fn ended_servers(context: &Context, group: &Group) -> BTreeSet<Incarnation> {
-    let now = context.clock.now();
-    let (missing, unlisted) = {
+/// The members that have ended.
+async fn ended_servers(
+    context: &Context,
+    group: &Group,
+    set: &ReplicaSet,
+) -> BTreeSet<Incarnation> {
+    let missing = {
         let groups = context.replica_sets.lock();
-        let Some(known) = groups.get(&group.name) else {
-            return BTreeSet::new();
-        };
-        let missing: Vec<Incarnation> = known.missing.may_have_ended(now).cloned().collect();
-        (missing, known.unlisted.clone())
+        let known = groups.get(&group.name);
+        known.map_or_else(MissingReplicas::default, |known| known.missing.clone())
     };
+    let now = context.clock.now();
     let mut ended = BTreeSet::new();
-    for server in missing {
-        let known = group.server(&server);
-        let known = known.or_else(|| unlisted.get(&server).map(Arc::clone));
-        let answers = match known {
-            Some(known) => status_of(context, &known).await.is_some(),
-            None => false,
+    for (server, location) in set.members() {
+        if !missing.may_have_ended(now).any(|missing| missing == server) {
+            continue;
+        }
+        let reachability = if is_restarted(group, server) {
+            Reachability::Refuses
+        } else {
+            reachability(context, location).await
         };
-        if !answers {
-            ended.insert(server);
+        if missing.has_ended(server, reachability, now) {
+            ended.insert(server.clone());
         }
     }
     ended
 }
 
+/// Whether the directory lists another incarnation of a server.
+fn is_restarted(group: &Group, server: &Incarnation) -> bool {
+    let mut listed = listed_servers(group).into_keys();
+    listed.any(|listed| listed.is_other_incarnation_of(server))
+}
+
+/// How a server's address answers. Nothing is sent to a zone that is closed.
+async fn reachability(context: &Context, location: &ReplicaLocation) -> Reachability {
+    let zone_gate = context.locality.evacuations.gate(&location.zone);
+    if zone_gate.is_closed() {
+        return Reachability::Silent;
+    }
+    let connecting = TcpStream::connect(location.address);
+    match timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(Ok(_)) => Reachability::Answers,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Reachability::Refuses,
+        Ok(Err(_)) | Err(_) => Reachability::Silent,
+    }
+}
+
 /// Whether enough replicas have received what the primary reports to hold now.
 async fn others_hold_all(context: &Context, group: &Group, primary: &Arc<Server>) -> bool {
     let status = status_of(context, primary).await;
