Use a server that leads only if the newest decision names it

Seen by callers (in the new test): a read of the newest commits was served by a deposed primary and lacked a commit that its successor had acknowledged.

Cause: the search for a successor took any server that says that it leads in the newest reported term, without counting. If all servers of a newer term are silent, that is the deposed primary; a decision named it, and nodes used it at once.

Ruled out: the promotion itself (the count before it refuses; no order is sent in the test on the former code).

Change: without a count only the server that the newest decision names is taken, or its next incarnation. Another one that leads is told to step down first.

Before: a_deposed_primary_that_still_claims_to_lead_... fails with the read of i-2. After: it passes, with failover, lease and restarts (26 tests).

--- a/crates/spurpier-pipeline/src/events.rs
+++ b/crates/spurpier-pipeline/src/events.rs
@@ -46,6 +46,7 @@
     SUCCESSION_RESTORED = 6047, "succession_restored", Info, "a succession that the store had lost is stored again", "none";
     REPLICAS_UNREPORTED = 6048, "replicas_unreported", Warn, "a lost primary is not replaced yet: too many servers that may hold acknowledged commits have not reported what they received", "bring back one of the servers that are named; a server that stays missing is no longer waited for after 30 s";
     REPLICA_REMOVED = 6049, "replica_removed", Info, "a server that has ended is removed from the replica set of its group: the others hold everything that was acknowledged", "none if planned";
+    DEPOSED_PRIMARY_FOUND = 6050, "deposed_primary_found", Warn, "a server leads its group although the newest decision names another one; it is told to step down", "find out why it did not learn of its replacement";
     PRIMARY_MOVES = 6070, "primary_moves", Info, "a working primary hands its group over to another server", "none; the reason is logged, and demand means that much of the group's work is not allowed where the primary is located";
     REGIONS_UNKNOWN = 6071, "regions_unknown", Warn, "the configuration in force names regions that no zone has; requests restricted to those regions are refused", "fix what the findings point to, or add the region to the settings' zones";
     SERVER_COLD = 6130, "server_cold", Info, "a server is cold; where its group has a cold rate, messages to it are counted over all nodes", "none";
--- a/crates/spurpier-pipeline/src/promotion/successor.rs
+++ b/crates/spurpier-pipeline/src/promotion/successor.rs
@@ -161,8 +161,10 @@
 
 /// The server that is to take over from a lost primary; `None` if there is none yet.
 ///
-/// A server that leads already takes precedence. Its promotion was executed late, or the answer was
-/// lost.
+/// A server that leads already takes precedence if the newest decision names it: its promotion was
+/// executed late, or the answer was lost. One that leads against that decision steps down first and
+/// is considered with the others the next time. Nodes use a server that leads as soon as a decision
+/// names it, while a promotion under the former decision may still be executed.
 pub async fn find_successor(
     context: &Context,
     group: &Group,
@@ -174,12 +176,34 @@
         .iter()
         .filter(|report| report.leads() && !group.has_lost_log(&report.server, report.received()));
     let leading = leading.max_by_key(|report| report.term());
-    match leading.filter(|leading| leading.term() == newest_term(&reports)) {
-        Some(leading) => Some(leading.as_successor()),
+    let newest_term = newest_term(&reports);
+    match leading.filter(|leading| leading.term() == newest_term) {
+        Some(leading) if may_lead(group, &leading.server) => Some(leading.as_successor()),
+        Some(leading) => {
+            step_down_deposed(context, group, &leading.server, newest_term + 1).await;
+            None
+        }
         None => choose(context, group, count, &reports),
     }
 }
 
+/// Whether the newest decision allows a server to lead: it names the server, or the incarnation
+/// that the server had before it restarted.
+fn may_lead(group: &Group, server: &Server) -> bool {
+    let server = &server.incarnation;
+    group.is_successor(server) || group.is_restarted_successor(server)
+}
+
+async fn step_down_deposed(context: &Context, group: &Group, server: &Arc<Server>, term: u64) {
+    let status = send_request(context, server, ServerRequest::StepDown { term }).await;
+    log_event!(
+        events::DEPOSED_PRIMARY_FOUND,
+        group = group.name,
+        server = server.incarnation,
+        answer = format!("{:?}", status.map(|status| status.role))
+    );
+}
+
 /// Whether the chosen successor of a lost primary holds everything that was acknowledged. Where
 /// commits wait for replicas, the replicas are paused first, so that the former primary can
 /// acknowledge nothing more, and their status is then requested again.
