--- a/crates/spurpier-pipeline/src/promotion/evacuation.rs
+++ b/crates/spurpier-pipeline/src/promotion/evacuation.rs
@@ -10,7 +10,7 @@
 
 use super::lease::KnownPromotionLease;
 use super::successor::{StepDownOutcome, await_position, status_of};
-use super::watch::{PromotionTask, UNDECIDED_DELAY};
+use super::task::{PromotionTask, UNDECIDED_DELAY};
 use crate::events;
 use crate::ports::ServerRole;
 use crate::server::Server;
--- a/crates/spurpier-pipeline/src/promotion/hand_over.rs
+++ b/crates/spurpier-pipeline/src/promotion/hand_over.rs
@@ -11,7 +11,7 @@
     StepDownOutcome, Successor, find_handover_successor, find_successor_in_region, promote,
     step_down,
 };
-use super::watch::{PromotionTask, UNDECIDED_DELAY};
+use super::task::{PromotionTask, UNDECIDED_DELAY};
 use crate::events;
 use crate::locality::MoveReason;
 use crate::ports::PromotionAnswer;
--- a/crates/spurpier-pipeline/src/promotion/mod.rs
+++ b/crates/spurpier-pipeline/src/promotion/mod.rs
@@ -14,6 +14,7 @@
 mod requests;
 mod round;
 mod successor;
+mod task;
 mod watch;
 
 pub use self::demand::report_demand_and_decide_moves;
--- a/crates/spurpier-pipeline/src/replica_sets/keep.rs
+++ b/crates/spurpier-pipeline/src/replica_sets/keep.rs
@@ -1,34 +1,28 @@
 //! Keeps the recorded replica sets up to date: adds servers that are listed, and removes those that
-//! have ended once the others hold what they may have acknowledged.
+//! have ended.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::io::ErrorKind;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use nanoserde::{DeBin, SerBin};
+use nanoserde::SerBin;
 use spurpier_core::directory::Incarnation;
-use spurpier_core::leader::{
-    MissingReplicas, Reachability, ReplicaLocation, ReplicaSet, Succession, may_remove_ended,
-};
+use spurpier_core::leader::{ReplicaLocation, ReplicaSet};
 use spurpier_core::store_version::StoreVersion;
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::{RecordedSet, STORE_CALL_TIMEOUT, listed_servers, read_recorded, read_row, record};
+use super::removal::removable_servers;
+use super::{RecordedSet, STORE_CALL_TIMEOUT, listed_servers, read_recorded, record};
 use crate::configuration::IndexedConfiguration;
 use crate::context::Context;
 use crate::era::transact_in_era;
 use crate::events;
 use crate::group::Group;
 use crate::homes::Home;
-use crate::membership::succession_key;
-use crate::ports::{Condition, ServerRole, Shard, Table, TransactOutcome, Transaction, Write};
-use crate::promotion::{await_position, status_of};
-use crate::server::Server;
+use crate::ports::{Condition, Shard, Table, TransactOutcome, Transaction, Write};
 
 /// Interval at which the listed servers are compared with those that are recorded.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -40,26 +34,23 @@
 /// How long after a change of the listed servers the recorded set is read again. Longer than a call
 /// of another home may stay unanswered and be executed nevertheless.
 const LATE_CALL_TIMEOUT: Duration = Duration::from_secs(10);
-/// How long a server may take to answer a connection attempt.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long a replica may take to receive what the primary holds.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Keeps the replica sets of the groups that this node is a home of; never returns.
 pub async fn keep_replica_sets(context: Arc<Context>) {
-    let mut keepers: BTreeMap<String, Keeper> = BTreeMap::new();
+    let mut keepers: BTreeMap<String, (Arc<Group>, Keeper)> = BTreeMap::new();
     loop {
         await_synchronous_groups(&context).await;
         let groups = context.groups_in_use().into_iter();
-        let groups: Vec<Arc<Group>> = groups
-            .filter(|group| group.synchronous_replicas() > 0)
-            .collect();
-        let names: BTreeSet<&String> = groups.iter().map(|group| &group.name).collect();
-        keepers.retain(|name, _| names.contains(name));
-        for group in &groups {
-            let keeper = keepers.entry(group.name.clone()).or_default();
-            keeper.check(&context, group).await;
+        let groups = groups.filter(|group| group.synchronous_replicas() > 0);
+        let mut former = std::mem::take(&mut keepers);
+        for group in groups {
+            let keeper = former.remove(&group.name).map(|(_, keeper)| keeper);
+            let keeper = keeper.unwrap_or_default();
+            keepers.insert(group.name.clone(), (group, keeper));
         }
+        let checks = keepers.values_mut();
+        let checks = checks.map(|(group, keeper)| keeper.check(&context, group));
+        futures::future::join_all(checks).await;
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
 }
@@ -194,18 +185,14 @@
             self.removal_due = None;
             return;
         }
-        let Some(primary) = serving_primary(context, group).await else {
+        let Some(removable) = removable_servers(context, group, set).await else {
             return;
         };
-        let ended = ended_servers(context, group, set).await;
-        if ended.is_empty() || !others_hold_all(context, group, &primary.server).await {
-            return;
-        }
-        let next = set.without(&ended);
-        let written = write(context, group, &recorded, next, Some(primary.condition)).await;
+        let next = set.without(&removable.ended);
+        let written = write(context, group, &recorded, next, Some(removable.condition)).await;
         if let (Some(version), Some(confirmed)) = (written, &mut self.confirmed) {
             confirmed.version = version;
-            for server in &ended {
+            for server in &removable.ended {
                 log_event!(events::REPLICA_REMOVED, group = group.name, server = server);
             }
         }
@@ -227,102 +214,6 @@
     known.is_none_or(|known| known.missing.is_empty())
 }
 
-/// A primary that is used under the newest decision.
-struct ServingPrimary {
-    server: Arc<Server>,
-    /// That no newer decision has been stored.
-    condition: Condition,
-}
-
-/// The group's primary, if this node may use it and the newest decision names it.
-async fn serving_primary(context: &Context, group: &Group) -> Option<ServingPrimary> {
-    let key = succession_key(&group.name);
-    let stored = read_row(context, Table::Cluster, &key).await?;
-    let version = stored.version;
-    let is_newest_known = match stored.value {
-        Some(value) => Succession::deserialize_bin(&value)
-            .is_ok_and(|succession| succession.token == group.token()),
-        None => true,
-    };
-    let server = group.leader()?;
-    let is_used = is_newest_known && context.may_use_as_leader(group, &server);
-    is_used.then(|| ServingPrimary {
-        server,
-        condition: Condition {
-            table: Table::Cluster,
-            key,
-            version,
-        },
-    })
-}
-
-/// The members that have ended.
-async fn ended_servers(
-    context: &Context,
-    group: &Group,
-    set: &ReplicaSet,
-) -> BTreeSet<Incarnation> {
-    let missing = {
-        let groups = context.replica_sets.lock();
-        let known = groups.get(&group.name);
-        known.map_or_else(MissingReplicas::default, |known| known.missing.clone())
-    };
-    let now = context.clock.now();
-    let mut ended = BTreeSet::new();
-    for (server, location) in set.members() {
-        if !missing.may_have_ended(now).any(|missing| missing == server) {
-            continue;
-        }
-        let reachability = if is_restarted(group, server) {
-            Reachability::Refuses
-        } else {
-            reachability(context, location).await
-        };
-        if missing.has_ended(server, reachability, now) {
-            ended.insert(server.clone());
-        }
-    }
-    ended
-}
-
-/// Whether the directory lists another incarnation of a server.
-fn is_restarted(group: &Group, server: &Incarnation) -> bool {
-    let mut listed = listed_servers(group).into_keys();
-    listed.any(|listed| listed.is_other_incarnation_of(server))
-}
-
-/// How a server's address answers. Nothing is sent to a zone that is closed.
-async fn reachability(context: &Context, location: &ReplicaLocation) -> Reachability {
-    let zone_gate = context.locality.evacuations.gate(&location.zone);
-    if zone_gate.is_closed() {
-        return Reachability::Silent;
-    }
-    let connecting = TcpStream::connect(location.address);
-    match timeout(CONNECT_TIMEOUT, connecting).await {
-        Ok(Ok(_)) => Reachability::Answers,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Reachability::Refuses,
-        Ok(Err(_)) | Err(_) => Reachability::Silent,
-    }
-}
-
-/// Whether enough replicas have received what the primary reports to hold now.
-async fn others_hold_all(context: &Context, group: &Group, primary: &Arc<Server>) -> bool {
-    let status = status_of(context, primary).await;
-    let Some(status) = status.filter(|status| status.role == ServerRole::Primary) else {
-        return false;
-    };
-    let position = status.received;
-    let replicas = group.servers().into_iter();
-    let replicas = replicas
-        .filter(|server| server.incarnation != primary.incarnation && !server.listing().gone);
-    let received = replicas.map(|server| async move {
-        let receives = await_position(context, &server, position, CATCH_UP_TIMEOUT).await;
-        receives.then_some(position)
-    });
-    let received = futures::future::join_all(received).await;
-    may_remove_ended(position, &received, group.synchronous_replicas())
-}
-
 /// Writes the set on the condition that the recorded one has not changed, and on another one if it
 /// is given. Returns the version of the new row, or `None` if it is not known to be written.
 async fn write(
--- a/crates/spurpier-pipeline/src/replica_sets/mod.rs
+++ b/crates/spurpier-pipeline/src/replica_sets/mod.rs
@@ -6,6 +6,7 @@
 
 mod count;
 mod keep;
+mod removal;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
