Log and count the statements that are prepared on server connections

No log line or metric showed the name under which a statement was prepared or executed on a server connection, so that a name with spaces, an out-of-date record of prepared statements and mixed sessions could not be told apart. Event 6051 (debug) names each statement that is prepared: request, server, quoted name, digest and length of the shape; event 6052 (warn) an execution whose server does not know the statement. The metric prepared_statements counts both. What is sent is unchanged.

--- a/crates/spurpier-pipeline/src/metrics.rs
+++ b/crates/spurpier-pipeline/src/metrics.rs
@@ -102,6 +102,7 @@
     outdated_rows: Family<TableLabels, Counter>,
     table_ages: Family<TableLabels, Gauge>,
     unmatched_answers: Counter,
+    prepared_statements: Family<Kind, Counter>,
 }
 
 impl fmt::Debug for Metrics {
@@ -136,6 +137,7 @@
             outdated_rows: Family::default(),
             table_ages: Family::default(),
             unmatched_answers: Counter::default(),
+            prepared_statements: Family::default(),
         };
         metrics.register();
         metrics
@@ -195,6 +197,26 @@
         registry.register("table_age_ms", text, self.table_ages.clone());
         let text = "Answers of other nodes that came too late or to a former process";
         registry.register("unmatched_answers", text, self.unmatched_answers.clone());
+        let text = "Statements on server connections: prepared, or unknown to the server";
+        registry.register(
+            "prepared_statements",
+            text,
+            self.prepared_statements.clone(),
+        );
+    }
+
+    /// Counts a statement that is prepared on a server connection.
+    pub fn count_prepared_statement(&self) {
+        self.count_prepared("prepared");
+    }
+
+    /// Counts an execution of a prepared statement that its server does not know.
+    pub fn count_unknown_prepared_statement(&self) {
+        self.count_prepared("unknown");
+    }
+
+    fn count_prepared(&self, kind: &'static str) {
+        self.prepared_statements.get_or_create(&Kind { kind }).inc();
     }
 
     /// Counts an answer of another node to a request that is not pending.
--- a/crates/spurpier-pipeline/src/unit/attempt.rs
+++ b/crates/spurpier-pipeline/src/unit/attempt.rs
@@ -6,10 +6,14 @@
 
 use spurpier_core::position::Position;
 use spurpier_core::time::Timestamp;
+use spurpier_events::log_event;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::Unit;
 use super::statement::ClientStatement;
 use crate::clock::Clock;
+use crate::context::Context;
+use crate::events;
 use crate::locality::NoLeave;
 use crate::ports::{Answer, ErrorClass, ServerRequest};
 use crate::server::{ExchangeError, Lease, Server, ServerConnection, Values};
@@ -126,9 +130,9 @@
         let statement = statement.clone();
         let values = self.values.clone();
         let started = clock.now();
-        let inner_clock = clock.clone();
+        let context = Arc::clone(&self.context);
         let exchange = async move {
-            let result = exchange(&mut leased, &inner_clock, &statement, &values, mode).await;
+            let result = exchange(&mut leased, &context, &statement, &values, mode).await;
             (leased, result)
         };
         match await_or_detach(&clock, until, exchange).await {
@@ -161,14 +165,17 @@
 
 async fn exchange(
     leased: &mut LeasedConnection,
-    clock: &Clock,
+    context: &Context,
     statement: &ClientStatement,
     values: &Values,
     mode: ExchangeMode,
 ) -> Result<TimedAnswer, Failure> {
+    let server = Arc::clone(&leased.server);
     let connection = leased.connection()?;
-    prepare_connection(connection, values, statement).await?;
-    let sent_at = clock.now();
+    if prepare_connection(connection, values, statement).await? {
+        record_prepared(context, &server, statement);
+    }
+    let sent_at = context.clock.now();
     let answer = match mode {
         ExchangeMode::Statement(after) => connection.exchange(&statement.request(after)).await?,
         ExchangeMode::StatementAndRollback => {
@@ -179,25 +186,55 @@
     };
     if answer.error_class() == Some(ErrorClass::UnknownName) {
         connection.prepared.clear();
+        record_unknown(context, &server, statement);
     }
     Ok(TimedAnswer { answer, sent_at })
 }
 
+/// Logs and counts that a statement has been prepared on a connection to a server.
+fn record_prepared(context: &Context, server: &Server, statement: &ClientStatement) {
+    context.metrics.count_prepared_statement();
+    let shape = statement.prepared.as_ref().map_or("", |it| &it.shape);
+    log_event!(
+        events::STATEMENT_PREPARED,
+        request = statement.id,
+        server = server.incarnation,
+        statement = format!("{:?}", statement.server_name()),
+        shape_digest = format!("{:016x}", xxh3_64(shape.as_bytes())),
+        shape_bytes = shape.len()
+    );
+}
+
+/// Logs and counts that a server does not know a statement that was prepared on the connection.
+fn record_unknown(context: &Context, server: &Server, statement: &ClientStatement) {
+    context.metrics.count_unknown_prepared_statement();
+    let event = events::PREPARED_STATEMENT_UNKNOWN;
+    if let Some(suppressed) = context.log_budget.take(event, context.clock.now()) {
+        log_event!(
+            event,
+            request = statement.id,
+            server = server.incarnation,
+            statement = format!("{:?}", statement.server_name()),
+            suppressed = suppressed
+        );
+    }
+}
+
 /// Sets the session's values on the connection and prepares the statement's prepared statement,
-/// unless the connection already has them.
+/// unless the connection already has them. Returns whether it prepared the statement.
 pub async fn prepare_connection(
     connection: &mut ServerConnection,
     values: &Values,
     statement: &ClientStatement,
-) -> Result<(), Failure> {
+) -> Result<bool, Failure> {
     if connection.values != *values {
         set_values(connection, values).await?;
     }
     let Some(prepared) = &statement.prepared else {
-        return Ok(());
+        return Ok(false);
     };
     if connection.prepared.contains(statement.server_name()) {
-        return Ok(());
+        return Ok(false);
     }
     let request = ServerRequest::Prepare {
         name: statement.server_name(),
@@ -207,7 +244,7 @@
     internal_exchange(connection, &request).await?;
     let name = statement.server_name().to_owned();
     connection.prepared.insert(name);
-    Ok(())
+    Ok(true)
 }
 
 async fn set_values(connection: &mut ServerConnection, values: &Values) -> Result<(), Failure> {
