Name prepared statements on server connections by numbers

Callers saw executions run in another client's shape, with words that nobody had sent, and a statement that was prepared as a read run as a write.

Cause: the name of a statement on a server connection was its effect's letter and its shape. A shape is the last field of what a client sends and may hold spaces; as a name it stands before other fields of PREPARE and EXECUTE, so that the server split the line elsewhere: 'PREPARE wq2c WRITE ku WRITE q2c WRITE ku' prepares 'ku WRITE q2c WRITE ku' as 'wq2c', the name that another session executes.

Names are numbers now, typed, in the order of preparation on a connection and never reused there, so that they hold nothing that a client chose.

--- a/crates/spurpier-pipeline/src/ports/dialect.rs
+++ b/crates/spurpier-pipeline/src/ports/dialect.rs
@@ -6,7 +6,7 @@
 use spurpier_core::position::Position;
 
 use super::directory::ServerStatus;
-use super::statement::{Answer, Effect, Request, ServerError, TransactionState};
+use super::statement::{Answer, Effect, Request, ServerError, StatementName, TransactionState};
 use super::tenant::KeyDigest;
 
 /// The received bytes are not a valid message of the dialect, or exceed its size limit. The
@@ -82,8 +82,8 @@
     Execute {
         /// The identifier that the client gave the statement.
         id: &'a str,
-        /// The name of the prepared statement on the server connection.
-        name: &'a str,
+        /// The prepared statement.
+        name: StatementName,
         /// The text that follows the name, unchanged.
         arguments: &'a str,
         /// The log position that the server must have reached before it runs the statement.
@@ -103,7 +103,7 @@
     /// Prepares a statement.
     Prepare {
         /// The statement's name on the server connection.
-        name: &'a str,
+        name: StatementName,
         /// Whether executing it reads or writes.
         effect: Effect,
         /// The statement's shape, by which sessions share it on a server connection.
--- a/crates/spurpier-pipeline/src/server/connection.rs
+++ b/crates/spurpier-pipeline/src/server/connection.rs
@@ -1,6 +1,6 @@
 //! A connection to a server: runs one exchange at a time and returns only complete answers.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::io;
 use std::sync::Arc;
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 
 use super::pool::Target;
+use super::prepared::PreparedStatements;
 use crate::locality::{ColdGate, NoLeave, PermitWait, ZoneGate};
 use crate::ports::{
     Answer, Completion, ErrorClass, ServerDialect, ServerError, ServerMessage, ServerRequest,
@@ -90,8 +91,8 @@
     pub caller: String,
     /// The session values that were set on it.
     pub values: Values,
-    /// The names of the statements prepared on it.
-    pub prepared: HashSet<String>,
+    /// The statements that are prepared on it.
+    pub prepared: PreparedStatements,
 }
 
 impl ServerConnection {
@@ -129,7 +130,7 @@
             },
             caller: caller.to_owned(),
             values: Values::new(),
-            prepared: HashSet::new(),
+            prepared: PreparedStatements::default(),
         };
         connection.start_up(target).await?;
         Ok(connection)
--- a/crates/spurpier-pipeline/src/server/mod.rs
+++ b/crates/spurpier-pipeline/src/server/mod.rs
@@ -3,6 +3,7 @@
 mod connection;
 mod health;
 mod pool;
+mod prepared;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
--- a/crates/spurpier-pipeline/src/unit/attempt.rs
+++ b/crates/spurpier-pipeline/src/unit/attempt.rs
@@ -7,15 +7,14 @@
 use spurpier_core::position::Position;
 use spurpier_core::time::Timestamp;
 use spurpier_events::log_event;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::Unit;
-use super::statement::ClientStatement;
+use super::statement::{BoundStatement, ClientStatement, PreparedExecution};
 use crate::clock::Clock;
 use crate::context::Context;
 use crate::events;
 use crate::locality::NoLeave;
-use crate::ports::{Answer, ErrorClass, ServerRequest};
+use crate::ports::{Answer, ErrorClass, ServerRequest, ShapeDigest, StatementName};
 use crate::server::{ExchangeError, Lease, Server, ServerConnection, Values};
 
 /// How long an exchange may continue after its unit timed out before its connection is closed.
@@ -172,81 +171,107 @@
 ) -> Result<TimedAnswer, Failure> {
     let server = Arc::clone(&leased.server);
     let connection = leased.connection()?;
-    if prepare_connection(connection, values, statement).await? {
-        record_prepared(context, &server, statement);
-    }
+    let bound = prepare_connection(connection, context, &server, values, statement).await?;
     let sent_at = context.clock.now();
     let answer = match mode {
-        ExchangeMode::Statement(after) => connection.exchange(&statement.request(after)).await?,
+        ExchangeMode::Statement(after) => connection.exchange(&bound.request(after)).await?,
         ExchangeMode::StatementAndRollback => {
             connection
-                .exchange_and_roll_back(&statement.request(None))
+                .exchange_and_roll_back(&bound.request(None))
                 .await?
         }
     };
     if answer.error_class() == Some(ErrorClass::UnknownName) {
         connection.prepared.clear();
-        record_unknown(context, &server, statement);
+        record_unknown(context, &server, bound);
     }
     Ok(TimedAnswer { answer, sent_at })
 }
 
+/// Sets the session's values on the connection and prepares the statement's prepared statement,
+/// unless the connection already has them.
+async fn prepare_connection<'a>(
+    connection: &mut ServerConnection,
+    context: &Context,
+    server: &Server,
+    values: &Values,
+    statement: &'a ClientStatement,
+) -> Result<BoundStatement<'a>, Failure> {
+    if connection.values != *values {
+        set_values(connection, values).await?;
+    }
+    let Some(prepared) = &statement.prepared else {
+        return Ok(BoundStatement::Plain(statement));
+    };
+    let digest = prepared.shape_digest();
+    let name = match connection.prepared.find(&digest) {
+        Some(name) => name,
+        None => {
+            let name = prepare(connection, prepared, digest).await?;
+            record_prepared(context, server, &statement.id, digest, name);
+            name
+        }
+    };
+    Ok(BoundStatement::Execution {
+        id: &statement.id,
+        name,
+        arguments: &prepared.arguments,
+    })
+}
+
+/// Prepares a statement on the connection under a new name.
+async fn prepare(
+    connection: &mut ServerConnection,
+    prepared: &PreparedExecution,
+    digest: ShapeDigest,
+) -> Result<StatementName, Failure> {
+    let name = connection.prepared.new_name();
+    let request = ServerRequest::Prepare {
+        name,
+        effect: prepared.effect,
+        shape: &prepared.shape,
+    };
+    internal_exchange(connection, &request).await?;
+    connection.prepared.insert(digest, name);
+    Ok(name)
+}
+
 /// Logs and counts that a statement has been prepared on a connection to a server.
-fn record_prepared(context: &Context, server: &Server, statement: &ClientStatement) {
+fn record_prepared(
+    context: &Context,
+    server: &Server,
+    request: &str,
+    shape: ShapeDigest,
+    name: StatementName,
+) {
     context.metrics.count_prepared_statement();
-    let shape = statement.prepared.as_ref().map_or("", |it| &it.shape);
     log_event!(
         events::STATEMENT_PREPARED,
-        request = statement.id,
+        request = request,
         server = server.incarnation,
-        statement = format!("{:?}", statement.server_name()),
-        shape_digest = format!("{:016x}", xxh3_64(shape.as_bytes())),
-        shape_bytes = shape.len()
+        statement = name,
+        shape = shape
     );
 }
 
 /// Logs and counts that a server does not know a statement that was prepared on the connection.
-fn record_unknown(context: &Context, server: &Server, statement: &ClientStatement) {
+fn record_unknown(context: &Context, server: &Server, bound: BoundStatement<'_>) {
+    let BoundStatement::Execution { id, name, .. } = bound else {
+        return;
+    };
     context.metrics.count_unknown_prepared_statement();
     let event = events::PREPARED_STATEMENT_UNKNOWN;
     if let Some(suppressed) = context.log_budget.take(event, context.clock.now()) {
         log_event!(
             event,
-            request = statement.id,
+            request = id,
             server = server.incarnation,
-            statement = format!("{:?}", statement.server_name()),
+            statement = name,
             suppressed = suppressed
         );
     }
 }
 
-/// Sets the session's values on the connection and prepares the statement's prepared statement,
-/// unless the connection already has them. Returns whether it prepared the statement.
-pub async fn prepare_connection(
-    connection: &mut ServerConnection,
-    values: &Values,
-    statement: &ClientStatement,
-) -> Result<bool, Failure> {
-    if connection.values != *values {
-        set_values(connection, values).await?;
-    }
-    let Some(prepared) = &statement.prepared else {
-        return Ok(false);
-    };
-    if connection.prepared.contains(statement.server_name()) {
-        return Ok(false);
-    }
-    let request = ServerRequest::Prepare {
-        name: statement.server_name(),
-        effect: prepared.effect,
-        shape: &prepared.shape,
-    };
-    internal_exchange(connection, &request).await?;
-    let name = statement.server_name().to_owned();
-    connection.prepared.insert(name);
-    Ok(true)
-}
-
 async fn set_values(connection: &mut ServerConnection, values: &Values) -> Result<(), Failure> {
     let has_foreign = connection
         .values
--- a/crates/spurpier-pipeline/src/unit/statement.rs
+++ b/crates/spurpier-pipeline/src/unit/statement.rs
@@ -2,28 +2,24 @@
 
 use spurpier_core::position::Position;
 
-use crate::ports::{Effect, ServerRequest};
+use crate::ports::{Effect, ServerRequest, ShapeDigest, StatementName};
 
 /// The execution of a prepared statement.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PreparedExecution {
     /// Whether the prepared statement reads or writes.
     pub effect: Effect,
-    /// The shape of the prepared statement, by which sessions share it on a server connection.
+    /// The shape of the prepared statement.
     pub shape: String,
     /// The arguments: the part of the client's text after the statement's name.
     pub arguments: String,
 }
 
 impl PreparedExecution {
-    /// Returns the statement's name on server connections, which all sessions that prepare the same
-    /// shape share.
-    pub fn server_name(&self) -> String {
-        let prefix = match self.effect {
-            Effect::Read => 'r',
-            Effect::Write => 'w',
-        };
-        format!("{prefix}{}", self.shape)
+    /// Returns the digest by which sessions that prepare the same shape share the statement on a
+    /// server connection.
+    pub fn shape_digest(&self) -> ShapeDigest {
+        ShapeDigest::of(self.effect, &self.shape)
     }
 }
 
@@ -36,7 +32,6 @@
     pub text: String,
     /// The prepared statement that it executes, if any.
     pub prepared: Option<PreparedExecution>,
-    server_name: String,
 }
 
 impl ClientStatement {
@@ -46,7 +41,6 @@
             id,
             text,
             prepared: None,
-            server_name: String::new(),
         }
     }
 
@@ -55,28 +49,44 @@
         ClientStatement {
             id,
             text,
-            server_name: prepared.server_name(),
             prepared: Some(prepared),
         }
     }
+}
 
-    /// Returns the prepared statement's name on server connections; empty for plain statements.
-    pub fn server_name(&self) -> &str {
-        &self.server_name
-    }
+/// A statement that can be sent on a connection: what it executes is prepared there.
+#[derive(Debug, Clone, Copy)]
+pub enum BoundStatement<'a> {
+    /// Sent as the client wrote it.
+    Plain(&'a ClientStatement),
+    /// Executes a statement that is prepared on the connection.
+    Execution {
+        /// The client's identifier of the statement.
+        id: &'a str,
+        /// The prepared statement's name on the connection.
+        name: StatementName,
+        /// The part of the client's text after its own name of the statement.
+        arguments: &'a str,
+    },
+}
 
+impl<'a> BoundStatement<'a> {
     /// Returns the request to send; if `after` is given, the server must have applied it.
-    pub fn request(&self, after: Option<Position>) -> ServerRequest<'_> {
-        match &self.prepared {
-            Some(prepared) => ServerRequest::Execute {
-                id: &self.id,
-                name: &self.server_name,
-                arguments: &prepared.arguments,
+    pub fn request(self, after: Option<Position>) -> ServerRequest<'a> {
+        match self {
+            BoundStatement::Plain(statement) => ServerRequest::Relay {
+                id: &statement.id,
+                text: &statement.text,
                 after,
             },
-            None => ServerRequest::Relay {
-                id: &self.id,
-                text: &self.text,
+            BoundStatement::Execution {
+                id,
+                name,
+                arguments,
+            } => ServerRequest::Execute {
+                id,
+                name,
+                arguments,
                 after,
             },
         }
