Bound the statements that stay prepared on a server connection

Each new shape left a prepared statement on the connection, at the node and at the server, until a session with other values reset it: a client that prepares ever new shapes grew both without bound.

A connection keeps 256. The one that was not used for longest is deallocated before another is prepared, also inside a transaction, where a reset is not possible. Its name is not used again. The metric counts 'evicted'.

--- a/crates/spurpier-pipeline/src/metrics.rs
+++ b/crates/spurpier-pipeline/src/metrics.rs
@@ -197,7 +197,7 @@
         registry.register("table_age_ms", text, self.table_ages.clone());
         let text = "Answers of other nodes that came too late or to a former process";
         registry.register("unmatched_answers", text, self.unmatched_answers.clone());
-        let text = "Statements on server connections: prepared, or unknown to the server";
+        let text = "Statements on server connections: prepared, evicted, or unknown to the server";
         registry.register(
             "prepared_statements",
             text,
@@ -215,6 +215,11 @@
         self.count_prepared("unknown");
     }
 
+    /// Counts a prepared statement that is removed from a server connection in favour of another.
+    pub fn count_evicted_statement(&self) {
+        self.count_prepared("evicted");
+    }
+
     fn count_prepared(&self, kind: &'static str) {
         self.prepared_statements.get_or_create(&Kind { kind }).inc();
     }
--- a/crates/spurpier-pipeline/src/ports/dialect.rs
+++ b/crates/spurpier-pipeline/src/ports/dialect.rs
@@ -109,6 +109,11 @@
         /// The statement's shape, by which sessions share it on a server connection.
         shape: &'a str,
     },
+    /// Removes a prepared statement.
+    Deallocate {
+        /// The statement's name on the server connection.
+        name: StatementName,
+    },
     /// Clears all session values and prepared statements.
     Reset,
     /// Requests the server's status.
--- a/crates/spurpier-pipeline/src/server/connection.rs
+++ b/crates/spurpier-pipeline/src/server/connection.rs
@@ -355,7 +355,10 @@
 fn is_preparing(request: &ServerRequest<'_>) -> bool {
     matches!(
         request,
-        ServerRequest::Set { .. } | ServerRequest::Prepare { .. } | ServerRequest::Reset
+        ServerRequest::Set { .. }
+            | ServerRequest::Prepare { .. }
+            | ServerRequest::Deallocate { .. }
+            | ServerRequest::Reset
     )
 }
 
--- a/crates/spurpier-pipeline/src/server/prepared.rs
+++ b/crates/spurpier-pipeline/src/server/prepared.rs
@@ -4,19 +4,35 @@
 
 use crate::ports::{ShapeDigest, StatementName};
 
+/// Maximum number of statements that stay prepared on a connection.
+const MAX_PREPARED_STATEMENTS: usize = 256;
+
+/// A statement that is prepared on the connection.
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    name: StatementName,
+    /// The number of the lookup that used it last.
+    last_use: u64,
+}
+
 /// The statements that are prepared on one server connection.
 ///
-/// Names are numbers in the order of preparation, and are never reused on a connection.
+/// Names are numbers in the order of preparation. They are never reused on a connection, so that a
+/// late or lost `Deallocate` cannot affect another statement.
 #[derive(Debug, Default)]
 pub struct PreparedStatements {
-    entries: HashMap<ShapeDigest, StatementName>,
+    entries: HashMap<ShapeDigest, Entry>,
     names: u64,
+    uses: u64,
 }
 
 impl PreparedStatements {
-    /// Returns the name of a prepared statement; `None` if it is not prepared.
-    pub fn find(&self, shape: &ShapeDigest) -> Option<StatementName> {
-        self.entries.get(shape).copied()
+    /// Returns the name of a prepared statement, and marks it as used; `None` if it is not prepared.
+    pub fn find(&mut self, shape: &ShapeDigest) -> Option<StatementName> {
+        let entry = self.entries.get_mut(shape)?;
+        self.uses += 1;
+        entry.last_use = self.uses;
+        Some(entry.name)
     }
 
     /// Returns a name that no statement of the connection has had.
@@ -27,7 +43,21 @@
 
     /// Records that a statement is prepared under this name.
     pub fn insert(&mut self, shape: ShapeDigest, name: StatementName) {
-        self.entries.insert(shape, name);
+        self.uses += 1;
+        let last_use = self.uses;
+        self.entries.insert(shape, Entry { name, last_use });
+    }
+
+    /// Removes the statement that was not used for longest if the connection has
+    /// [`MAX_PREPARED_STATEMENTS`], and returns its name.
+    pub fn evict(&mut self) -> Option<StatementName> {
+        if self.entries.len() < MAX_PREPARED_STATEMENTS {
+            return None;
+        }
+        let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.last_use);
+        let (shape, entry) = oldest.map(|(shape, entry)| (*shape, *entry))?;
+        self.entries.remove(&shape);
+        Some(entry.name)
     }
 
     /// Removes all statements; the server has none of them any more.
--- a/crates/spurpier-pipeline/src/unit/attempt.rs
+++ b/crates/spurpier-pipeline/src/unit/attempt.rs
@@ -207,7 +207,7 @@
     let name = match connection.prepared.find(&digest) {
         Some(name) => name,
         None => {
-            let name = prepare(connection, prepared, digest).await?;
+            let name = prepare(connection, context, prepared, digest).await?;
             record_prepared(context, server, &statement.id, digest, name);
             name
         }
@@ -219,12 +219,18 @@
     })
 }
 
-/// Prepares a statement on the connection under a new name.
+/// Prepares a statement on the connection under a new name, in place of the one that was not used
+/// for longest if there are too many.
 async fn prepare(
     connection: &mut ServerConnection,
+    context: &Context,
     prepared: &PreparedExecution,
     digest: ShapeDigest,
 ) -> Result<StatementName, Failure> {
+    if let Some(name) = connection.prepared.evict() {
+        internal_exchange(connection, &ServerRequest::Deallocate { name }).await?;
+        context.metrics.count_evicted_statement();
+    }
     let name = connection.prepared.new_name();
     let request = ServerRequest::Prepare {
         name,
