Name statements on back-end connections by a digest that resists collisions

Callers: a client that prepares a statement runs another client's statement instead, if that one was made to have the same name and is prepared on the connection first. The server answers as if the own one had run.

Cause: the name was the 128 bits of XXH3, without a key, over types and text, and both are chosen by clients. XXH3 adds up products of the text with a secret that is public, so that collisions can be written down: in the two texts of the new test, letters in comments cancel the secret where the texts differ, so that `SELECT 1, 0` and `SELECT 0, 1` have one name. A connection is shared by all clients of a database.

Nobody knows how to find a collision of them; the count comes first, so that the input is unambiguous whatever the text holds. The name has 57 bytes, below PostgreSQL's limit of 63.

Test: texts_that_are_made_to_collide_have_names_of_their_own in statement_classification. Before: both names are spurpier_31b8c873fe0b09efdf84cfa7cb1196d8. After: it passes, as do the others of the file.

--- a/crates/spurpier-core/src/statement/digest.rs
+++ b/crates/spurpier-core/src/statement/digest.rs
@@ -1,6 +1,7 @@
 //! Statement digests, used for request keys and for prepared statement names on back ends.
 
-use xxhash_rust::xxh3::{Xxh3, xxh3_128};
+use sha2::{Digest, Sha256};
+use xxhash_rust::xxh3::Xxh3;
 
 use super::split::TokenizedStatement;
 
@@ -37,19 +38,23 @@
     }
 }
 
+/// Number of hexadecimal digits of a statement's digest that its name holds: with all of them,
+/// PostgreSQL would truncate the name.
+const NAME_DIGITS: usize = 48;
+
 /// The name under which a statement is prepared on back-end connections.
 ///
 /// It depends only on the text and the parameter types (as OIDs), so that sessions which prepare
-/// the same statement share it on a connection.
+/// the same statement share it on a connection. Clients choose both, so the digest has to resist a
+/// deliberate search for collisions.
 pub fn back_end_statement_name(text: &str, parameter_types: &[u32]) -> String {
-    let mut input = Vec::with_capacity(text.len() + 4 * parameter_types.len() + 8);
+    let type_count = parameter_types.len() as u64;
+    let mut hasher = Sha256::new_with_prefix(type_count.to_le_bytes());
     for type_oid in parameter_types {
-        input.extend_from_slice(&type_oid.to_le_bytes());
+        hasher.update(type_oid.to_le_bytes());
     }
-    let type_count = parameter_types.len() as u64;
-    input.extend_from_slice(&type_count.to_le_bytes());
-    input.extend_from_slice(text.as_bytes());
-    format!("spurpier_{:032x}", xxh3_128(&input))
+    hasher.update(text);
+    format!("spurpier_{:.NAME_DIGITS$x}", hasher.finalize())
 }
 
 /// The digest of the statements' tokens, which ignores comments and white space.
--- a/crates/spurpier-core/tests/statement_classification.rs
+++ b/crates/spurpier-core/tests/statement_classification.rs
@@ -249,6 +249,23 @@
     assert!(name.len() < 64, "PostgreSQL truncates longer names");
 }
 
+/// Selects two numbers. Texts that only swap them have the same XXH3 digest of 128 bits, since the
+/// letters in the comments cancel its secret at the numbers' places.
+fn select_of_two(first: u8, second: u8) -> String {
+    let comments = [format!("{:-<81}", "/*"), format!("{:-<566}", "/*")];
+    let end = format!("{:-<150}*/", "/*");
+    let [before, between] = comments;
+    format!("SELECT {before}xxxx*/ {first}, {between}psHN*/ {second} {end}")
+}
+
+#[test]
+fn texts_that_are_made_to_collide_have_names_of_their_own() {
+    let [plain, swapped] = [select_of_two(1, 0), select_of_two(0, 1)];
+    assert_ne!(plain, swapped);
+    let names = [&plain, &swapped].map(|text| back_end_statement_name(text, &[]));
+    assert_ne!(names[0], names[1]);
+}
+
 #[test]
 fn the_cache_is_bounded_and_matches_the_classifier() {
     let cache = ClassificationCache::new(10);
