Quote identifiers in the values of settings anew

Callers: `SET search_path = "x\""; DELETE FROM t; --"` names one schema. The proxy sends the text after the quote to servers as a statement of its own: once when it tries the setting out, and again whenever a connection takes on the session's settings, outside of the fence and of request keys, on any server that the session reads from.

Cause: the value was put together from the tokenizer's display of each token. For a quoted identifier it takes a quote after a backslash for escaped, and leaves it single; two quotes in the name are left as two, which is one. In PostgreSQL a backslash means nothing there, and every quote has to be doubled.

Quoted identifiers are quoted by the proxy itself now, as string literals are already: each quote is doubled. All other tokens that a value may hold (words without quotes, numbers, signs, commas) hold no quotes.

Before: the value was "x\"; DELETE FROM t; --", "y""z". That servers run the text is by reading (setting.rs local_form, prepare.rs settings_query), not by a run.

--- a/crates/spurpier-core/src/statement/session_command.rs
+++ b/crates/spurpier-core/src/statement/session_command.rs
@@ -234,9 +234,11 @@
     (!text.is_empty()).then_some(text)
 }
 
-/// The token as SQL text; string literals are requoted with [`quote_literal`].
+/// The token as SQL text; string literals and quoted identifiers are quoted anew, as the tokenizer's
+/// own form of an identifier ends early if the name contains a backslash before a quote.
 fn token_text(token: &Token) -> String {
     match token {
+        Token::Word(word) if word.quote_style.is_some() => quote_identifier(&word.value),
         Token::SingleQuotedString(value) | Token::EscapedStringLiteral(value) => {
             quote_literal(value)
         }
@@ -254,6 +256,10 @@
     }
 }
 
+fn quote_identifier(name: &str) -> String {
+    format!("\"{}\"", name.replace('"', "\"\""))
+}
+
 /// The value as text without quotes.
 fn literal_text(tokens: &[&Token]) -> String {
     let texts = tokens.iter().map(|token| match token {
--- a/crates/spurpier-core/tests/statement_classification.rs
+++ b/crates/spurpier-core/tests/statement_classification.rs
@@ -179,6 +179,10 @@
         ("SET TIME ZONE 'UTC'", set("timezone", "'UTC'")),
         ("SET a.b TO -1", set("a.b", "-1")),
         ("SET a = E'x\\'y\\\\'", set("a", "E'x''y\\\\'")),
+        (
+            r#"SET a TO "x\""; DELETE FROM t; --", "y""""z""#,
+            set("a", r#""x\""; DELETE FROM t; --", "y""""z""#),
+        ),
         ("SET a TO DEFAULT", reset("a")),
         ("RESET a", reset("a")),
         (
