Check the lengths of texts in messages between nodes

One datagram to a node's internal address, whose text claims more bytes than any buffer has, ended the task that receives all datagrams: until its restart the node answered no other node, so that promotions waited for it, and heard no answers.

Cause: names of groups, tenants and nodes were encoded as a `String`. nanoserde adds its length of eight bytes to the offset before it compares the sum, which overflows: it panics there, or where it slices.

They are of the type Text now, which is encoded alike and takes no more bytes than are left. The form of the messages is unchanged, and so is their version. The stored row of the promotion lease is read by it too.

--- a/crates/spurpier-core/src/leader/promotion_lease.rs
+++ b/crates/spurpier-core/src/leader/promotion_lease.rs
@@ -12,6 +12,7 @@
 
 use crate::store_version::StoreEra;
 use crate::time::Timestamp;
+use crate::wire::Text;
 
 /// How long a holder may leave a node's requests unanswered before the node takes over the
 /// promotion lease.
@@ -27,6 +28,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
 pub struct PromotionLeaseRow {
     /// The name of the node that holds the lease.
+    #[nserde(proxy = "Text")]
     pub holder: String,
     /// The fencing token of its newest decision.
     pub token: u64,
--- a/crates/spurpier-core/src/wire.rs
+++ b/crates/spurpier-core/src/wire.rs
@@ -1,8 +1,8 @@
 //! Compact encodings for messages between nodes, safe against forged lengths.
 //!
 //! nanoserde encodes the lengths of lists and texts in eight bytes and trusts them: a forged length
-//! makes the decoder allocate that much memory. The encodings here use two or four bytes, and check
-//! a length against the remaining bytes before anything is allocated.
+//! makes the decoder allocate that much memory, or panic. The encodings here check a length against
+//! the remaining bytes before they use it, and all but [`Text`] encode it in two or four bytes.
 
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 
@@ -68,14 +68,7 @@
 /// Fails if the bytes end early or are not valid UTF-8.
 pub fn decode_text<'a>(offset: &mut usize, bytes: &'a [u8]) -> Result<&'a str, DeBinErr> {
     let length = usize::from(u16::de_bin(offset, bytes)?);
-    let left = bytes.len().saturating_sub(*offset);
-    if length > left {
-        return Err(DeBinErr::new(*offset, length, left));
-    }
-    let payload = &bytes[*offset..*offset + length];
-    let text = std::str::from_utf8(payload).map_err(|_| DeBinErr::new(*offset, length, left))?;
-    *offset += length;
-    Ok(text)
+    take_text(offset, length, bytes)
 }
 
 /// Appends bytes with a four-byte length.
@@ -92,15 +85,29 @@
 /// Fails if the bytes end early.
 pub fn decode_bytes<'a>(offset: &mut usize, bytes: &'a [u8]) -> Result<&'a [u8], DeBinErr> {
     let length = u32::de_bin(offset, bytes)? as usize;
-    let left = bytes.len().saturating_sub(*offset);
-    if length > left {
-        return Err(DeBinErr::new(*offset, length, left));
-    }
-    let payload = &bytes[*offset..*offset + length];
+    take_bytes(offset, length, bytes)
+}
+
+/// The next `length` bytes, if as many are left.
+fn take_bytes<'a>(
+    offset: &mut usize,
+    length: usize,
+    bytes: &'a [u8],
+) -> Result<&'a [u8], DeBinErr> {
+    let left = bytes.get(*offset..).unwrap_or_default();
+    let Some(payload) = left.get(..length) else {
+        return Err(DeBinErr::new(*offset, length, left.len()));
+    };
     *offset += length;
     Ok(payload)
 }
 
+fn take_text<'a>(offset: &mut usize, length: usize, bytes: &'a [u8]) -> Result<&'a str, DeBinErr> {
+    let start = *offset;
+    let payload = take_bytes(offset, length, bytes)?;
+    std::str::from_utf8(payload).map_err(|_| DeBinErr::new(start, length, bytes.len()))
+}
+
 /// Appends a text with a four-byte length, for texts that must not be truncated.
 pub fn encode_long_text(text: &str, output: &mut Vec<u8>) {
     encode_bytes(text.as_bytes(), output);
@@ -112,9 +119,8 @@
 ///
 /// Fails if the bytes end early or are not valid UTF-8.
 pub fn decode_long_text<'a>(offset: &mut usize, bytes: &'a [u8]) -> Result<&'a str, DeBinErr> {
-    let start = *offset;
-    let payload = decode_bytes(offset, bytes)?;
-    std::str::from_utf8(payload).map_err(|_| DeBinErr::new(start, payload.len(), bytes.len()))
+    let length = u32::de_bin(offset, bytes)? as usize;
+    take_text(offset, length, bytes)
 }
 
 /// A text that is encoded by [`encode_long_text`].
@@ -133,6 +139,43 @@
     }
 }
 
+/// A text that is encoded as nanoserde encodes a `String`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Text(pub String);
+
+impl From<&str> for Text {
+    fn from(text: &str) -> Self {
+        Text(text.to_owned())
+    }
+}
+
+impl From<&String> for Text {
+    fn from(text: &String) -> Self {
+        Text(text.clone())
+    }
+}
+
+impl From<&Text> for String {
+    fn from(text: &Text) -> Self {
+        text.0.clone()
+    }
+}
+
+impl SerBin for Text {
+    fn ser_bin(&self, output: &mut Vec<u8>) {
+        self.0.ser_bin(output);
+    }
+}
+
+impl DeBin for Text {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Self, DeBinErr> {
+        let length = u64::de_bin(offset, bytes)?;
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        let text = take_text(offset, length, bytes)?;
+        Ok(Text(text.to_owned()))
+    }
+}
+
 /// The tag in front of an encoded IPv4 address.
 const TAG_V4: u8 = 4;
 /// The tag in front of an encoded IPv6 address.
--- a/crates/spurpier-pipeline/src/forward/caller.rs
+++ b/crates/spurpier-pipeline/src/forward/caller.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use spurpier_core::wire::Text;
+
 use super::link::{CallOutcome, Link};
 use super::messages::{
     Call, CallHead, Reply, WireAnswer, WireCaller, WireSession, WireWork, millis,
@@ -136,8 +138,8 @@
 pub(super) fn head(unit: &Unit, relayed: bool) -> CallHead {
     let route = &unit.route;
     CallHead {
-        database: route.database.clone(),
-        group: route.group.clone(),
+        database: Text::from(&route.database),
+        group: Text::from(&route.group),
         freshness: route.freshness.into(),
         timeout_ms: millis(route.timeout),
         target_ms: millis(route.target),
--- a/crates/spurpier-pipeline/src/forward/messages.rs
+++ b/crates/spurpier-pipeline/src/forward/messages.rs
@@ -14,7 +14,7 @@
 use spurpier_core::position::Position;
 use spurpier_core::store_version::StoreVersion;
 use spurpier_core::wire::{
-    List, LongText, decode_address, decode_bytes, decode_text, encode_address, encode_bytes,
+    List, LongText, Text, decode_address, decode_bytes, decode_text, encode_address, encode_bytes,
     encode_text,
 };
 
@@ -130,9 +130,9 @@
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub struct CallHead {
     /// The database that the client named.
-    pub database: String,
+    pub database: Text,
     /// The name of the group.
-    pub group: String,
+    pub group: Text,
     /// How fresh the unit's reads must be.
     pub freshness: WireFreshness,
     /// How long a statement may take, in milliseconds.
@@ -157,7 +157,7 @@
 /// The wire form of [`Caller`].
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub struct WireCaller {
-    tenant: Option<String>,
+    tenant: Option<Text>,
     key: Option<KeyDigest>,
 }
 
@@ -171,7 +171,7 @@
 impl From<&Caller> for WireCaller {
     fn from(caller: &Caller) -> Self {
         WireCaller {
-            tenant: caller.tenant.as_deref().map(str::to_owned),
+            tenant: caller.tenant.as_deref().map(Text::from),
             key: caller.key,
         }
     }
@@ -180,7 +180,7 @@
 impl From<WireCaller> for Caller {
     fn from(caller: WireCaller) -> Self {
         Caller {
-            tenant: caller.tenant.map(Arc::from),
+            tenant: caller.tenant.map(|tenant| Arc::from(tenant.0)),
             key: caller.key,
         }
     }
@@ -192,7 +192,7 @@
     /// How long the statement has waited at the caller, in milliseconds.
     pub waited_ms: u32,
     /// The session's settings, as alternating names and values.
-    pub values: List<String>,
+    pub values: List<Text>,
 }
 
 /// The wire form of [`FreshnessKind`]; staleness is in milliseconds.
@@ -341,7 +341,7 @@
         let texts = values.iter().flat_map(|(name, value)| [name, value]);
         WireSession {
             waited_ms: millis(waited),
-            values: List(texts.cloned().collect()),
+            values: List(texts.map(Text::from).collect()),
         }
     }
 
@@ -349,7 +349,7 @@
     pub fn session_values(&self) -> Values {
         let pairs = self.values.0.chunks_exact(2);
         pairs
-            .map(|pair| (pair[0].clone(), pair[1].clone()))
+            .map(|pair| (pair[0].0.clone(), pair[1].0.clone()))
             .collect()
     }
 }
--- a/crates/spurpier-pipeline/src/forward/server.rs
+++ b/crates/spurpier-pipeline/src/forward/server.rs
@@ -400,13 +400,13 @@
         if context.closing.is_cancelled() {
             return None;
         }
-        let group = context.known_group(&head.group)?;
+        let group = context.known_group(&head.group.0)?;
         let now = context.clock.now();
         // The caller has already combined the regions of the route and of the tenant.
         let allowed_regions = allowed_regions(head.allowed_regions);
         let route = Arc::new(Route {
-            database: head.database,
-            group: head.group,
+            database: head.database.0,
+            group: head.group.0,
             freshness: head.freshness.into(),
             timeout: duration(head.timeout_ms),
             target: duration(head.target_ms),
--- a/crates/spurpier-pipeline/src/promotion/demand.rs
+++ b/crates/spurpier-pipeline/src/promotion/demand.rs
@@ -8,7 +8,7 @@
 
 use nanoserde::SerBin;
 use spurpier_core::locality::RegionDemand;
-use spurpier_core::wire::{List, LongText};
+use spurpier_core::wire::{List, LongText, Text};
 
 use super::messages::{DemandReport, PeerMessage};
 use super::peers::{MAX_DATAGRAM_BYTES, Peers};
@@ -152,7 +152,7 @@
     loop {
         let message = PeerMessage::Demand {
             request_id,
-            group: group.to_owned(),
+            group: Text::from(group),
             demand: List(reports.clone()),
         };
         if reports.pop().is_none() || message.serialize_bin().len() <= MAX_DEMAND_BYTES {
--- a/crates/spurpier-pipeline/src/promotion/messages.rs
+++ b/crates/spurpier-pipeline/src/promotion/messages.rs
@@ -6,7 +6,7 @@
 use spurpier_core::leader::{Succession, SuccessorDetails};
 use spurpier_core::position::Position;
 use spurpier_core::store_version::StoreVersion;
-use spurpier_core::wire::{List, LongText, decode_text, encode_text};
+use spurpier_core::wire::{List, LongText, Text, decode_text, encode_text};
 
 /// The encoded age if no leadership proof is known.
 const UNKNOWN_AGE: u32 = u32::MAX;
@@ -19,7 +19,7 @@
         /// The sender's identifier of the request.
         request_id: u64,
         /// The name of the group.
-        group: String,
+        group: Text,
     },
     /// Answers `AskPrimaryObservation`.
     PrimaryObservation {
@@ -36,10 +36,10 @@
         /// The sender's identifier of the request.
         request_id: u64,
         /// The name of the group.
-        group: String,
+        group: Text,
         /// The region that the primary is to move to; `None` if it is to be replaced for another
         /// reason.
-        region: Option<String>,
+        region: Option<Text>,
     },
     /// Asks the receiver to release its leader lease for the former leader: from then on it uses no
     /// server but the successor as the group's leader.
@@ -47,7 +47,7 @@
         /// The sender's identifier of the request.
         request_id: u64,
         /// The name of the group.
-        group: String,
+        group: Text,
         /// The token and the successor of the decision.
         succession: NamedSuccession,
         /// The version of the succession's row.
@@ -83,7 +83,7 @@
         /// The sender's identifier of the request.
         request_id: u64,
         /// The name of the group.
-        group: String,
+        group: Text,
         /// What was requested since the sender's last report.
         demand: List<DemandReport>,
     },
--- a/crates/spurpier-pipeline/src/promotion/peers.rs
+++ b/crates/spurpier-pipeline/src/promotion/peers.rs
@@ -7,6 +7,7 @@
 
 use spurpier_core::leader::{PrimaryObservation, Succession};
 use spurpier_core::position::Position;
+use spurpier_core::wire::Text;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
@@ -82,7 +83,7 @@
             PeerMessage::AskPrimaryObservation { request_id, group } => {
                 let peers = Arc::clone(self);
                 let answer = async move {
-                    let observation = peers.observe_primary(request_id, &group).await;
+                    let observation = peers.observe_primary(request_id, &group.0).await;
                     peers.answer(observation, origin, from).await;
                 };
                 tokio::spawn(answer);
@@ -93,10 +94,10 @@
                 region,
             } => {
                 if let Some(region) = region {
-                    self.record_move_request(&group, region);
+                    self.record_move_request(&group.0, region.0);
                 }
                 if self.context.can_hold_promotion_lease()
-                    && self.requested_groups.try_send(group).is_ok()
+                    && self.requested_groups.try_send(group.0).is_ok()
                 {
                     let answer = PeerMessage::Acknowledged { request_id };
                     self.answer(answer, origin, from).await;
@@ -111,7 +112,7 @@
             } => {
                 let NamedSuccession { token, successor } = succession;
                 let succession = Succession::from_parts(token, &successor, details);
-                let group = self.context.group(&group);
+                let group = self.context.group(&group.0);
                 if accept_succession(&self.context, &group, &succession, version) {
                     let token = group.token();
                     let answer = PeerMessage::LeaseReleased { request_id, token };
@@ -123,7 +124,7 @@
                 group,
                 demand,
             } => {
-                if self.record_demand(&group, demand) {
+                if self.record_demand(&group.0, demand) {
                     let answer = PeerMessage::Acknowledged { request_id };
                     self.answer(answer, origin, from).await;
                 }
@@ -184,7 +185,7 @@
         let addresses: Vec<SocketAddr> = homes.iter().map(|home| home.address).collect();
         let request = |request_id| PeerMessage::AskPrimaryObservation {
             request_id,
-            group: group.name.clone(),
+            group: Text::from(&group.name),
         };
         let asked_at = self.context.clock.now();
         let answers = self.request(&group.name, request, &addresses).await;
@@ -228,8 +229,8 @@
         let address = self.context.homes.address(holder);
         let request = |request_id| PeerMessage::AskDecision {
             request_id,
-            group: group.to_owned(),
-            region,
+            group: Text::from(group),
+            region: region.map(Text),
         };
         match address {
             Some(address) => !self.request(group, request, &[address]).await.is_empty(),
--- a/crates/spurpier-pipeline/src/promotion/round.rs
+++ b/crates/spurpier-pipeline/src/promotion/round.rs
@@ -10,6 +10,7 @@
 use nanoserde::SerBin;
 use spurpier_core::leader::{LeaseReleaseRound, RoundState, Succession};
 use spurpier_core::store_version::StoreVersion;
+use spurpier_core::wire::Text;
 use spurpier_events::log_event;
 
 use super::lease::{
@@ -151,7 +152,7 @@
         let addresses: Vec<SocketAddr> = names.keys().copied().collect();
         let request = |request_id| PeerMessage::AskLeaseRelease {
             request_id,
-            group: self.group.name.clone(),
+            group: Text::from(&self.group.name),
             succession: NamedSuccession::of(&self.decision.succession),
             version: self.decision.version,
             details: self.decision.succession.details(),
--- a/crates/spurpier-pipeline/src/quota/messages.rs
+++ b/crates/spurpier-pipeline/src/quota/messages.rs
@@ -5,7 +5,7 @@
 use nanoserde::{DeBin, SerBin};
 use spurpier_core::quota::{AuthorityTimestamp, Grant, PermitDemand, QuotaRate};
 use spurpier_core::time::Timestamp;
-use spurpier_core::wire::List;
+use spurpier_core::wire::{List, Text};
 
 use super::Scope;
 use crate::forward::{duration, millis};
@@ -16,7 +16,7 @@
     /// The scope whose operations the authority counts.
     pub scope: Scope,
     /// The name of the requesting node.
-    pub voter: String,
+    pub voter: Text,
     sent_after: Option<EncodedTimestamp>,
     demands: List<EncodedDemand>,
 }
@@ -48,7 +48,7 @@
 
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 struct EncodedDemand {
-    tenant: String,
+    tenant: Text,
     waiting: u32,
     per_second: f64,
     burst: f64,
@@ -64,7 +64,7 @@
         demands: impl Iterator<Item = (&'a str, PermitDemand)>,
     ) -> Self {
         let demands = demands.map(|(tenant, demand)| EncodedDemand {
-            tenant: tenant.to_owned(),
+            tenant: Text::from(tenant),
             waiting: demand.waiting,
             per_second: demand.rate.per_second,
             burst: demand.rate.burst,
@@ -72,7 +72,7 @@
         });
         PermitRequest {
             scope,
-            voter: voter.to_owned(),
+            voter: Text::from(voter),
             sent_after: sent_after.map(EncodedTimestamp::from),
             demands: List(demands.collect()),
         }
@@ -95,7 +95,7 @@
                 rate,
                 version: demand.version,
             };
-            (demand.tenant, wanted)
+            (demand.tenant.0, wanted)
         })
     }
 }
--- a/crates/spurpier-pipeline/src/quota/mod.rs
+++ b/crates/spurpier-pipeline/src/quota/mod.rs
@@ -227,7 +227,7 @@
         let authority = authorities
             .entry(shard)
             .or_insert_with(|| Authority::new(self.bound, self.incarnation));
-        authority.record_vote(&request.voter, request.sent_after(), nodes, now);
+        authority.record_vote(&request.voter.0, request.sent_after(), nodes, now);
         let mut grant = |tenant: &str, demand: PermitDemand| {
             let jitter = rand::rng().random();
             authority.grant(tenant, demand, jitter, now)
@@ -247,7 +247,7 @@
     ) -> Option<PermitResponse> {
         let authority = self.zone.as_ref()?.authority.lock();
         let mut authority = authority.unwrap_or_else(PoisonError::into_inner);
-        authority.record_vote(&request.voter, request.sent_after(), nodes, now);
+        authority.record_vote(&request.voter.0, request.sent_after(), nodes, now);
         let mut grant = |tenant: &str, demand: PermitDemand| {
             let jitter = rand::rng().random();
             authority.grant(tenant, demand.waiting, jitter, now)
