Bound the values of a session, which go to other nodes in one frame

A client that set many large values aborted the transactions of other clients of its node ('the transaction was dropped'), with each statement that it sent.

Cause: a statement that another node runs carries all values of its session. Above the greatest frame, 64 MiB, the message could not be encoded, and the connection to the other node, which all sessions share, was closed.

The values of a session take 4 MiB together at most; a SET beyond that is answered with MALFORMED, and the former value stays. With its texts of 1 MiB each, a statement then always fits into a frame.

Test: 1,100 values of 64,000 bytes, then a statement, while another session has a transaction open. Before: its COMMIT is answered with ABORTED.

--- a/crates/spurpier-pipeline/src/session/state.rs
+++ b/crates/spurpier-pipeline/src/session/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use spurpier_core::leader::SessionCommit;
+use spurpier_protocol::frame::MAX_FRAME_BYTES;
 use tokio::time::Instant;
 
 use crate::context::Context;
@@ -11,6 +12,12 @@
 use crate::ports::{Effect, KeyDigest, TransactionState};
 use crate::server::Values;
 
+/// Maximum size of a session's values, in bytes. Each statement that another node runs carries all
+/// of them in its frame, on a connection that sessions share.
+const MAX_VALUES_BYTES: usize = MAX_FRAME_BYTES / 16;
+/// What a value counts in addition to its name and its text, in bytes.
+const VALUE_OVERHEAD_BYTES: usize = 64;
+
 /// A prepared statement, stored by name in its session.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Prepared {
@@ -56,6 +63,19 @@
         }
     }
 
+    /// Stores a session value. Returns false, without storing it, if the values would together be
+    /// larger than [`MAX_VALUES_BYTES`].
+    #[must_use]
+    pub fn set_value(&mut self, name: String, value: String) -> bool {
+        let others = self.values.iter().filter(|(known, _)| **known != name);
+        let others: usize = others.map(|(name, value)| value_bytes(name, value)).sum();
+        let fits = others + value_bytes(&name, &value) <= MAX_VALUES_BYTES;
+        if fits {
+            self.values.insert(name, value);
+        }
+        fits
+    }
+
     /// The transaction state last reported to the client.
     pub fn transaction_state(&self) -> TransactionState {
         let transaction = self.transaction.as_ref();
@@ -85,3 +105,7 @@
         }
     }
 }
+
+fn value_bytes(name: &str, value: &str) -> usize {
+    VALUE_OVERHEAD_BYTES + name.len() + value.len()
+}
--- a/crates/spurpier-pipeline/src/session/statements.rs
+++ b/crates/spurpier-pipeline/src/session/statements.rs
@@ -54,8 +54,12 @@
         } = request;
         match statement {
             Statement::Set { name, value } => {
-                self.values.insert(name, value);
-                Answer::done(state)
+                if self.set_value(name, value) {
+                    Answer::done(state)
+                } else {
+                    let text = "the session's values are too large";
+                    Answer::error(ErrorClass::Malformed, text, state)
+                }
             }
             Statement::Prepare {
                 name,
