End the transaction of a commit that its server refuses

A server that is too busy to commit leaves the transaction open and failed. The node had given the transaction up, but told the client that it stood in a failed one: the ROLLBACK that followed was answered MALFORMED, and the connection was closed.

The answer says now that no transaction is open, and the connection is rolled back and kept.

Test: a COMMIT answered BUSY; before the fix the state is E, with it I.

--- a/crates/spurpier-pipeline/src/unit/transaction.rs
+++ b/crates/spurpier-pipeline/src/unit/transaction.rs
@@ -134,9 +134,16 @@
         let server = Arc::clone(&leased.server);
         let unit = &self.unit;
         let mode = ExchangeMode::Statement(None);
-        let (_, result) = unit
+        let (leased, mut result) = unit
             .attempt(leased, statement, mode, unit.deadlines.run_until)
             .await;
+        if let Ok(TimedAnswer { answer, .. }) = &mut result
+            && answer.state != TransactionState::Idle
+        {
+            // A server that refuses to commit leaves the transaction open.
+            release(leased).await;
+            answer.state = TransactionState::Idle;
+        }
         match result {
             Ok(TimedAnswer { answer, .. })
                 if answer.outcome.is_ok()
@@ -187,12 +194,17 @@
     /// commit or rollback is accepted.
     pub async fn expire(&mut self) {
         self.abandoned = true;
-        if let Some(mut leased) = self.leased.take()
-            && let Ok(connection) = leased.connection()
-        {
-            // A connection that breaks here is closed, which also rolls the transaction back.
-            let _ = connection.roll_back().await;
-        }
+        release(self.leased.take()).await;
+    }
+}
+
+/// Rolls back what is open on a connection, and releases it.
+async fn release(leased: Option<LeasedConnection>) {
+    if let Some(mut leased) = leased
+        && let Ok(connection) = leased.connection()
+    {
+        // A connection that breaks here is closed, which also rolls the transaction back.
+        let _ = connection.roll_back().await;
     }
 }
 
