Abort a transaction whose server forgot a prepared statement

A server that does not know a statement that it was to have prepared answers NOSUCHNAME. Outside a transaction the statement is prepared and run again; in one, the client was told that the name is unknown, although its preparing had been acknowledged (PINNED). It is told ABORTED now: nothing of the transaction is kept, and it can be tried again.

--- a/crates/spurpier-pipeline/src/unit/transaction.rs
+++ b/crates/spurpier-pipeline/src/unit/transaction.rs
@@ -86,6 +86,15 @@
                 .attempt(leased, statement, ExchangeMode::Statement(None), run_until);
         let (leased, result) = attempt.await;
         match result {
+            Ok(TimedAnswer { answer, .. })
+                if answer.error_class() == Some(ErrorClass::UnknownName) =>
+            {
+                // The client has prepared the statement; only the connection lacks it.
+                self.abandoned = true;
+                release(leased).await;
+                let why = "the server forgot a prepared statement";
+                self.unit.abort(&statement.id, &server.incarnation, why)
+            }
             Ok(TimedAnswer { answer, .. }) => {
                 self.record_answer(leased, &answer, writes);
                 if answer.error_class() == Some(ErrorClass::ReadOnly) && !self.read_only {
