Close a connection whose values may have changed without a confirmation

A session could run with another session's values, or without its own (PINNED): a server that ran SET or RESET and answered with an error that leaves this open (TIMEOUT, FAILED) left the connection's record as it was, and the connection went back to the pool. After a RESET, a prepared name was unknown as well.

Such an answer to one of the proxy's own statements excludes the connection from further use: it is closed when the unit that leased it ends. A refusal, after which nothing was changed, leaves it in use.

Tests: SET, and RESET, run and answered TIMEOUT at two replicas, then reads of another session until the near replica runs one. With the exclusion taken out both fail (values [zone=gent] for a session that set none, and none for one that set it); with it both pass.

--- a/crates/spurpier-pipeline/src/server/connection.rs
+++ b/crates/spurpier-pipeline/src/server/connection.rs
@@ -171,6 +171,11 @@
         !self.busy && self.state == TransactionState::Idle
     }
 
+    /// Excludes it from further use, as it is unknown what the server has set on it.
+    pub fn invalidate(&mut self) {
+        self.busy = true;
+    }
+
     /// Whether the server has kept it open, as far as a non-blocking read can detect. Unexpected
     /// data also counts as closed.
     pub fn is_alive(&mut self) -> bool {
--- a/crates/spurpier-pipeline/src/unit/attempt.rs
+++ b/crates/spurpier-pipeline/src/unit/attempt.rs
@@ -311,7 +311,12 @@
     })?;
     match answer.error_class() {
         None => Ok(()),
-        Some(class) => Err(Failure::Refused(class)),
+        Some(class) => {
+            if !class.is_not_run() {
+                connection.invalidate();
+            }
+            Err(Failure::Refused(class))
+        }
     }
 }
 
