Refuse requests that the server protocol cannot express

Servers could be sent a line that they read as other fields than were meant, or one above 1 MiB: a group, a caller, a server, a request id or a value's name that is empty or holds a space or line break; a value, shape or text that holds CR LF; a text that begins with AFTER. An execution, a PREPARE or a read with AFTER grows on its way, past the limit if the client's line was as long as one may be.

Cause: lines were joined from strings, and nothing held a string to what its place in the line allows.

Lines to servers are built from words and a last field, which are checked when they are made; a line that is not ended, or is too long, leaves nothing in the output. 'encode' therefore fails instead of writing, and a server reads back the same fields from all that it does write. A connection that is told so has sent nothing and stays usable. The opening message is encoded before a connection is counted or opened, so that a name of one caller does not fail units of others that wait at the pool. The unit is refused at once with MALFORMED (request_not_run, reason 'inexpressible'); a transaction fails and is rolled back.

Properties hold encoder and decoder together over texts of spaces, CR, LF and verbs.

Not tested with a node: names of groups, callers and servers that are no words; the encoder's tests cover them.

--- a/crates/spurpier-pipeline/src/ports/dialect.rs
+++ b/crates/spurpier-pipeline/src/ports/dialect.rs
@@ -22,6 +22,26 @@
 
 impl std::error::Error for ProtocolViolation {}
 
+/// Why a request cannot be expressed as a message of the dialect. Nothing may be sent for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EncodeError {
+    /// A field is empty, or contains what separates fields or messages.
+    InvalidField,
+    /// The message exceeds the dialect's size limit.
+    TooLong,
+}
+
+impl fmt::Display for EncodeError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            EncodeError::InvalidField => "a field is empty or contains a separator",
+            EncodeError::TooLong => "the message to the server is too long",
+        })
+    }
+}
+
+impl std::error::Error for EncodeError {}
+
 /// A message from a client.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ClientMessage {
@@ -152,8 +172,13 @@
 
 /// The protocol between the proxy and database servers.
 pub trait ServerDialect: fmt::Debug + Send + Sync {
-    /// Encodes a message.
-    fn encode(&self, request: &ServerRequest<'_>, output: &mut BytesMut);
+    /// Encodes a message, and appends it to the output.
+    ///
+    /// # Errors
+    ///
+    /// [`EncodeError`] if a server would not read the same fields from it; the output is unchanged.
+    fn encode(&self, request: &ServerRequest<'_>, output: &mut BytesMut)
+    -> Result<(), EncodeError>;
 
     /// Removes the next complete message from the buffer; `None` while it is incomplete.
     ///
--- a/crates/spurpier-pipeline/src/ports/mod.rs
+++ b/crates/spurpier-pipeline/src/ports/mod.rs
@@ -14,7 +14,8 @@
 
 pub use configuration::{Configuration, FreshnessKind, GroupSettings, Route};
 pub use dialect::{
-    ClientDialect, ClientMessage, ProtocolViolation, ServerDialect, ServerMessage, ServerRequest,
+    ClientDialect, ClientMessage, EncodeError, ProtocolViolation, ServerDialect, ServerMessage,
+    ServerRequest,
 };
 pub use directory::{
     EntryField, EntryFormat, ServerEntry, ServerRole, ServerStatus, UnusableEntry,
--- a/crates/spurpier-pipeline/src/server/connection.rs
+++ b/crates/spurpier-pipeline/src/server/connection.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io;
+use std::iter;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,8 +18,8 @@
 use super::prepared::PreparedStatements;
 use crate::locality::{ColdGate, NoLeave, PermitWait, ZoneGate};
 use crate::ports::{
-    Answer, Completion, ErrorClass, ServerDialect, ServerError, ServerMessage, ServerRequest,
-    TransactionState,
+    Answer, Completion, EncodeError, ErrorClass, ServerDialect, ServerError, ServerMessage,
+    ServerRequest, TransactionState,
 };
 
 /// Maximum size of the rows of an answer, in bytes.
@@ -44,7 +45,8 @@
     Cold(NoLeave),
 }
 
-/// Why an exchange returned no answer. The connection cannot be reused, except after `Cold`.
+/// Why an exchange returned no answer. The connection cannot be reused, except after `Cold` and
+/// `Inexpressible`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExchangeError {
     /// Nothing was sent: the connection was already closed, or its zone's gate is closed.
@@ -54,6 +56,14 @@
     /// The server is cold, and no permit to send to it was granted. Nothing was sent, and the
     /// connection remains usable.
     Cold(NoLeave),
+    /// The dialect cannot express the request. Nothing was sent, and the connection remains usable.
+    Inexpressible(EncodeError),
+}
+
+impl From<EncodeError> for ExchangeError {
+    fn from(error: EncodeError) -> Self {
+        ExchangeError::Inexpressible(error)
+    }
 }
 
 impl fmt::Display for ExchangeError {
@@ -62,10 +72,46 @@
             ExchangeError::NotSent => "nothing was sent",
             ExchangeError::Unclear => "the connection broke and the statement may have run",
             ExchangeError::Cold(_) => "the server is cold and takes no more for now",
+            ExchangeError::Inexpressible(error) => return error.fmt(formatter),
         })
     }
 }
 
+/// The message that opens a connection for a caller.
+#[derive(Debug)]
+pub struct StartUp {
+    caller: String,
+    message: BytesMut,
+}
+
+impl StartUp {
+    /// Encodes the message.
+    ///
+    /// # Errors
+    ///
+    /// [`EncodeError`] if the dialect cannot express the names of group, caller and server.
+    pub fn new(
+        target: &Target,
+        dialect: &dyn ServerDialect,
+        caller: &str,
+    ) -> Result<Self, EncodeError> {
+        let request = ServerRequest::StartUp {
+            group: &target.group,
+            caller,
+            instance: target.incarnation.name(),
+        };
+        let mut message = BytesMut::new();
+        dialect.encode(&request, &mut message)?;
+        let caller = caller.to_owned();
+        Ok(StartUp { caller, message })
+    }
+
+    /// The caller.
+    pub fn caller(&self) -> &str {
+        &self.caller
+    }
+}
+
 /// An open connection to a server.
 #[derive(Debug)]
 pub struct ServerConnection {
@@ -96,7 +142,7 @@
 }
 
 impl ServerConnection {
-    /// Opens a connection for a caller; `now` is the send time of the opening message.
+    /// Opens a connection with an opening message; `now` is the message's send time.
     ///
     /// # Errors
     ///
@@ -104,7 +150,7 @@
     pub async fn open(
         target: &Target,
         dialect: Arc<dyn ServerDialect>,
-        caller: &str,
+        start_up: &StartUp,
         now: Timestamp,
     ) -> Result<Self, OpenError> {
         if target.zone_gate.is_closed() {
@@ -120,7 +166,7 @@
             cold_gate: Arc::clone(&target.cold_gate),
             is_prepared: false,
             input: BytesMut::new(),
-            output: BytesMut::new(),
+            output: start_up.message.clone(),
             unread: 0,
             busy: false,
             state: TransactionState::Idle,
@@ -128,22 +174,16 @@
                 sent_at: now,
                 position: Position::ZERO,
             },
-            caller: caller.to_owned(),
+            caller: start_up.caller.clone(),
             values: Values::new(),
             prepared: PreparedStatements::default(),
         };
-        connection.start_up(target).await?;
+        connection.start_up().await?;
         Ok(connection)
     }
 
-    async fn start_up(&mut self, target: &Target) -> Result<(), OpenError> {
+    async fn start_up(&mut self) -> Result<(), OpenError> {
         self.busy = true;
-        let request = ServerRequest::StartUp {
-            group: &target.group,
-            caller: &self.caller,
-            instance: target.incarnation.name(),
-        };
-        self.dialect.encode(&request, &mut self.output);
         let passed = self.cold_gate.pass(PermitWait::Refused).await;
         passed.map_err(OpenError::Cold)?;
         if self.zone_gate.is_closed() {
@@ -223,18 +263,28 @@
     pub async fn roll_back(&mut self) -> Result<(), ExchangeError> {
         self.busy = true;
         self.pass(PermitWait::Refused).await?;
-        self.queue_rollback();
+        self.queue(&ServerRequest::Rollback, None)?;
+        self.unread += 1;
+        self.state = TransactionState::Idle;
         let sent = self.flush().await;
         sent.map_err(|_| ExchangeError::Unclear)?;
         self.busy = false;
         Ok(())
     }
 
-    fn queue_rollback(&mut self) {
-        let request = ServerRequest::Rollback;
-        self.dialect.encode(&request, &mut self.output);
-        self.unread += 1;
-        self.state = TransactionState::Idle;
+    /// Encodes the messages to send next; on an error, none of them.
+    fn queue<'a>(
+        &mut self,
+        request: &ServerRequest<'a>,
+        behind: Option<&ServerRequest<'a>>,
+    ) -> Result<(), EncodeError> {
+        let mut messages = iter::once(request).chain(behind);
+        let encoded =
+            messages.try_for_each(|message| self.dialect.encode(message, &mut self.output));
+        if encoded.is_err() {
+            self.output.clear();
+        }
+        encoded
     }
 
     async fn exchange_all(
@@ -250,13 +300,10 @@
         // Each message to a cold server needs its own permit, but closing the connection rolls back
         // the transaction without one.
         let behind = behind.filter(|_| !self.cold_gate.is_counted());
+        self.queue(request, behind.as_ref())?;
         self.is_prepared = is_preparing(request);
         self.busy = true;
-        self.dialect.encode(request, &mut self.output);
         let earlier = self.unread;
-        if let Some(behind) = behind {
-            self.dialect.encode(&behind, &mut self.output);
-        }
         let sent = self.flush().await;
         sent.map_err(|_| ExchangeError::Unclear)?;
         for _ in 0..earlier {
--- a/crates/spurpier-pipeline/src/server/pool/mod.rs
+++ b/crates/spurpier-pipeline/src/server/pool/mod.rs
@@ -21,10 +21,10 @@
 pub use self::open::OpenPools;
 pub use self::opening::Lease;
 use self::opening::Opening;
-use super::connection::{OpenError, ServerConnection, Values};
+use super::connection::{OpenError, ServerConnection, StartUp, Values};
 use crate::clock::Clock;
 use crate::locality::{ColdGate, ZoneGate};
-use crate::ports::{ErrorClass, ServerDialect};
+use crate::ports::{EncodeError, ErrorClass, ServerDialect};
 use crate::tenant::UNNAMED_CALLER;
 
 /// Backoff before another connection is requested from a server that has too many.
@@ -37,6 +37,8 @@
     Full,
     /// A connection could not be opened.
     Open(OpenError),
+    /// The dialect cannot express the message that opens one for the caller.
+    Inexpressible(EncodeError),
 }
 
 /// The server that a pool connects to.
@@ -293,7 +295,7 @@
             if let Some(error) = self.failure_since(started) {
                 return Err(AcquireError::Open(error));
             }
-            if let Some(opening) = self.start_opening(&need) {
+            if let Some(opening) = self.start_opening(&need)? {
                 tokio::spawn(opening.run());
             }
             self.wait_for_capacity(freed, deadline).await?;
@@ -342,12 +344,17 @@
 
     /// Starts to open a connection unless enough are being opened for the caller already. At the
     /// limit it replaces the connection that has been idle for longest.
-    fn start_opening(self: &Arc<Self>, need: &ConnectionNeed<'_>) -> Option<Opening> {
+    fn start_opening(
+        self: &Arc<Self>,
+        need: &ConnectionNeed<'_>,
+    ) -> Result<Option<Opening>, AcquireError> {
+        let start_up = StartUp::new(&self.target, &*self.dialect, need.opener());
+        let start_up = start_up.map_err(AcquireError::Inexpressible)?;
         let (displaced, was_listed) = {
             let mut inner = self.lock();
             let is_full = self.clock.now() < inner.full_until;
             if is_full || !inner.demand.wants_opening(need.opener()) {
-                return None;
+                return Ok(None);
             }
             let displaced = if inner.total < inner.limit {
                 inner.total += 1;
@@ -356,7 +363,7 @@
                 inner.usage.displaced += 1;
                 Some(inner.idle.remove(0))
             } else {
-                return None;
+                return Ok(None);
             };
             inner.demand.start_opening(need.opener());
             inner.usage.opened += 1;
@@ -366,7 +373,7 @@
         if !was_listed {
             self.open_pools.add(Arc::clone(self));
         }
-        Some(Opening::new(self, need.opener()))
+        Ok(Some(Opening::new(self, start_up)))
     }
 
     fn release(&self, connection: ServerConnection) {
--- a/crates/spurpier-pipeline/src/server/pool/opening.rs
+++ b/crates/spurpier-pipeline/src/server/pool/opening.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::Pool;
-use crate::server::connection::{OpenError, ServerConnection};
+use crate::server::connection::{OpenError, ServerConnection, StartUp};
 
 /// Maximum time to open a connection.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -12,16 +12,16 @@
 /// A connection that is being opened.
 pub struct Opening {
     pool: Arc<Pool>,
-    caller: String,
+    start_up: StartUp,
     connection: Option<ServerConnection>,
 }
 
 impl Opening {
-    /// Creates an opening for a caller; the pool must have counted the connection already.
-    pub fn new(pool: &Arc<Pool>, caller: &str) -> Self {
+    /// Creates an opening; the pool must have counted the connection already.
+    pub fn new(pool: &Arc<Pool>, start_up: StartUp) -> Self {
         Opening {
             pool: Arc::clone(pool),
-            caller: caller.to_owned(),
+            start_up,
             connection: None,
         }
     }
@@ -30,7 +30,7 @@
     pub async fn run(mut self) {
         let pool = Arc::clone(&self.pool);
         let dialect = Arc::clone(&pool.dialect);
-        let open = ServerConnection::open(&pool.target, dialect, &self.caller, pool.clock.now());
+        let open = ServerConnection::open(&pool.target, dialect, &self.start_up, pool.clock.now());
         let opened = tokio::time::timeout(OPEN_TIMEOUT, open).await;
         match opened.unwrap_or(Err(OpenError::Unreachable)) {
             Ok(connection) => {
@@ -44,7 +44,7 @@
 
 impl Drop for Opening {
     fn drop(&mut self) {
-        self.pool.lock().demand.stop_opening(&self.caller);
+        self.pool.lock().demand.stop_opening(self.start_up.caller());
         match self.connection.take() {
             Some(connection) => self.pool.release(connection),
             None => {
--- a/crates/spurpier-pipeline/src/unit/attempt.rs
+++ b/crates/spurpier-pipeline/src/unit/attempt.rs
@@ -14,7 +14,7 @@
 use crate::context::Context;
 use crate::events;
 use crate::locality::NoLeave;
-use crate::ports::{Answer, ErrorClass, ServerRequest, ShapeDigest, StatementName};
+use crate::ports::{Answer, EncodeError, ErrorClass, ServerRequest, ShapeDigest, StatementName};
 use crate::server::{ExchangeError, Lease, Server, ServerConnection, Values};
 
 /// How long an exchange may continue after its unit timed out before its connection is closed.
@@ -33,6 +33,9 @@
     Silent,
     /// The server is cold and no permit was granted; nothing was sent.
     Cold(NoLeave),
+    /// The dialect cannot express a message that is needed; the statement was not sent, and trying
+    /// another server is of no use.
+    Inexpressible(EncodeError),
 }
 
 impl From<ExchangeError> for Failure {
@@ -41,6 +44,7 @@
             ExchangeError::NotSent => Failure::NotSent,
             ExchangeError::Unclear => Failure::Broken,
             ExchangeError::Cold(no_leave) => Failure::Cold(no_leave),
+            ExchangeError::Inexpressible(error) => Failure::Inexpressible(error),
         }
     }
 }
@@ -307,6 +311,7 @@
     // The client's statement has not been sent yet, so a broken connection is not ambiguous.
     let answer = answer.map_err(|error| match error {
         ExchangeError::Cold(no_leave) => Failure::Cold(no_leave),
+        ExchangeError::Inexpressible(error) => Failure::Inexpressible(error),
         ExchangeError::NotSent | ExchangeError::Unclear => Failure::NotSent,
     })?;
     match answer.error_class() {
@@ -360,7 +365,9 @@
             server.record_answer(sent_at);
             (Some(leased), Ok(TimedAnswer { answer, sent_at }))
         }
-        Some((_, Err(failure @ Failure::Cold(_)))) => (None, Err(failure)),
+        Some((_, Err(failure @ (Failure::Cold(_) | Failure::Inexpressible(_))))) => {
+            (None, Err(failure))
+        }
         Some((_, Err(failure))) => {
             server.record_unanswered(clock);
             (None, Err(failure))
--- a/crates/spurpier-pipeline/src/unit/leader.rs
+++ b/crates/spurpier-pipeline/src/unit/leader.rs
@@ -71,6 +71,7 @@
                     continue;
                 }
                 Err(AcquireError::Full) => return Err(NotRun::NoConnection),
+                Err(AcquireError::Inexpressible(error)) => return Err(error.into()),
                 Err(AcquireError::Open(OpenError::Refused(ErrorClass::TooManyConnections))) => {
                     tokio::time::sleep(REFUSAL_DELAY).await;
                     missing = NotRun::NoConnection;
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -40,7 +40,9 @@
 use crate::group::Group;
 use crate::homes::PeerNode;
 use crate::locality::{ExclusionReason, NoLeave};
-use crate::ports::{Answer, Effect, ErrorClass, FreshnessKind, Route, TransactionState};
+use crate::ports::{
+    Answer, Effect, EncodeError, ErrorClass, FreshnessKind, Route, TransactionState,
+};
 use crate::quota::Refused;
 use crate::server::{ConnectionNeed, Server, Values};
 use crate::tenant::Caller;
@@ -91,6 +93,8 @@
     Rerouted,
     /// The servers that could run it are barred to it, for example by region or evacuation.
     Barred(ExclusionReason),
+    /// The protocol to the servers cannot express it; a retry would not either.
+    Inexpressible(EncodeError),
 }
 
 impl NotRun {
@@ -106,10 +110,12 @@
             NotRun::NoAuthority(_) => "no_quota_authority",
             NotRun::Rerouted => "rerouted",
             NotRun::Barred(bar) => bar.text(),
+            NotRun::Inexpressible(_) => "inexpressible",
         }
     }
 
-    /// Returns the time after which a client should retry, in milliseconds.
+    /// Returns the time after which a client should retry, in milliseconds; zero if a retry cannot
+    /// succeed.
     fn retry_after_ms(self) -> u32 {
         match self {
             NotRun::OverQuota(delay) | NotRun::NoAuthority(delay) => millis(delay),
@@ -117,8 +123,22 @@
             NotRun::NoLeader | NotRun::NoServer | NotRun::NoHome | NotRun::Rerouted => 300,
             NotRun::NoFreshServer => 200,
             NotRun::NoConnection | NotRun::ServerBusy => 100,
+            NotRun::Inexpressible(_) => 0,
         }
     }
+
+    /// Returns the answer for the client.
+    fn answer(self) -> Answer {
+        let (class, text) = match self {
+            NotRun::Inexpressible(error) => (ErrorClass::Malformed, error.to_string()),
+            _ => {
+                let retry_after_ms = self.retry_after_ms();
+                let text = format!("retry-after-ms={retry_after_ms} {}", self.text());
+                (ErrorClass::Busy, text)
+            }
+        };
+        Answer::error(class, text, TransactionState::Idle)
+    }
 }
 
 impl From<NoLeave> for NotRun {
@@ -127,6 +147,12 @@
     }
 }
 
+impl From<EncodeError> for NotRun {
+    fn from(error: EncodeError) -> Self {
+        NotRun::Inexpressible(error)
+    }
+}
+
 impl From<Refused> for NotRun {
     fn from(refused: Refused) -> Self {
         match refused {
@@ -277,7 +303,6 @@
     /// Logs and counts that a statement has not run, and returns its answer.
     pub fn refuse(&self, id: &str, reason: NotRun) -> Answer {
         self.context.metrics.count_refusal(reason.text());
-        let retry_after_ms = reason.retry_after_ms();
         if let Some(suppressed) = self.log_budget(events::REQUEST_NOT_RUN) {
             log_event!(
                 events::REQUEST_NOT_RUN,
@@ -285,13 +310,12 @@
                 group = self.group.name,
                 tenant = self.caller.name(),
                 reason = reason.text(),
-                retry_after_ms = retry_after_ms,
+                retry_after_ms = reason.retry_after_ms(),
                 waited_ms = self.waited_ms(),
                 suppressed = suppressed
             );
         }
-        let text = format!("retry-after-ms={retry_after_ms} {}", reason.text());
-        Answer::error(ErrorClass::Busy, text, TransactionState::Idle)
+        reason.answer()
     }
 
     /// Logs that it is unknown whether a statement ran, and returns its answer.
--- a/crates/spurpier-pipeline/src/unit/read.rs
+++ b/crates/spurpier-pipeline/src/unit/read.rs
@@ -134,6 +134,9 @@
                 _ => return Ok(answer),
             },
             Err(Failure::Cold(no_leave)) => return Err(no_leave.into()),
+            Err(Failure::Inexpressible(error)) => {
+                return Ok(self.refuse(&statement.id, error.into()));
+            }
             Err(Failure::Refused(class)) => (class, "refused"),
             Err(Failure::NotSent | Failure::Broken) => (ErrorClass::Other, "broken"),
             Err(Failure::Silent) => (ErrorClass::Other, "silent"),
@@ -300,6 +303,7 @@
                 server.health().avoid(clock.now());
                 Err(NotRun::NoConnection)
             }
+            Err(AcquireError::Inexpressible(error)) => Err(error.into()),
             Err(AcquireError::Open(OpenError::Refused(class))) => {
                 Err(self.record_refusal(&server, class))
             }
--- a/crates/spurpier-pipeline/src/unit/transaction.rs
+++ b/crates/spurpier-pipeline/src/unit/transaction.rs
@@ -103,6 +103,12 @@
                 }
                 answer
             }
+            Err(Failure::Inexpressible(error)) => {
+                self.abandoned = true;
+                let mut answer = self.unit.refuse(&statement.id, error.into());
+                answer.state = TransactionState::Failed;
+                answer
+            }
             Err(failure) => {
                 self.abandoned = true;
                 let why = format!("{failure:?}");
@@ -181,6 +187,9 @@
                 }
                 UnitResult { answer, committed }
             }
+            Err(Failure::Inexpressible(error)) => {
+                UnitResult::answer(unit.refuse(&statement.id, error.into()))
+            }
             Err(Failure::NotSent | Failure::Refused(_) | Failure::Cold(_)) => {
                 let mut answer = unit.abort(&statement.id, &server.incarnation, "NotSent");
                 answer.state = TransactionState::Idle;
@@ -254,6 +263,7 @@
                 .await
             {
                 Ok(leased) => return Ok(leased),
+                Err(reason @ NotRun::Inexpressible(_)) => return Err(reason),
                 Err(reason) => refused = reason,
             }
         }
@@ -272,6 +282,7 @@
         let dropped = connection.roll_back().await;
         dropped.map_err(|error| match error {
             ExchangeError::Cold(no_leave) => no_leave.into(),
+            ExchangeError::Inexpressible(error) => error.into(),
             ExchangeError::NotSent | ExchangeError::Unclear => NotRun::NoLeader,
         })?;
         let deadline = self.opening_deadline();
@@ -303,6 +314,7 @@
             }
             (_, Err(Failure::Refused(class))) => Err(self.record_refusal(&server, class)),
             (_, Err(Failure::Cold(no_leave))) => Err(no_leave.into()),
+            (_, Err(Failure::Inexpressible(error))) => Err(error.into()),
             (_, Err(_)) => Err(NotRun::NoServer),
         }
     }
--- a/crates/spurpier-pipeline/src/unit/write.rs
+++ b/crates/spurpier-pipeline/src/unit/write.rs
@@ -56,6 +56,9 @@
                 Err(Failure::Cold(no_leave)) => {
                     return UnitResult::answer(self.refuse(&statement.id, no_leave.into()));
                 }
+                Err(Failure::Inexpressible(error)) => {
+                    return UnitResult::answer(self.refuse(&statement.id, error.into()));
+                }
                 Err(Failure::Refused(class)) => class,
                 Err(Failure::NotSent) => ErrorClass::Misrouted,
                 Err(Failure::Broken | Failure::Silent) => {
