Refuse fixed settings in start-up messages too

Callers: `role`, `session_authorization`, `transaction_read_only` and `standard_conforming_strings` are refused in SET, but were taken from a start-up message or its `options`, and set on every connection that served the session. With standard_conforming_strings off, servers split texts, and the request key that the proxy puts between quotes, elsewhere than the proxy does. PostgreSQL's RESET ALL does not reset `role` and `session_authorization`, so that the next session on the connection kept them.

Cause: only the classification of SET and RESET asked the list of these settings.

Start-up messages ask the same list; SQLSTATE 0A000, as for SET. `standard_conforming_strings` = on is the value that holds anyway and is accepted without passing it on.

Test: settings_that_clients_must_not_set_are_refused_at_the_start_too in ingress_startup. What a server does with these settings is by reading and from PostgreSQL's documented behaviour, not by a run.

--- a/crates/spurpier-core/src/statement/mod.rs
+++ b/crates/spurpier-core/src/statement/mod.rs
@@ -18,7 +18,9 @@
 pub use cache::ClassificationCache;
 pub use comment::CommentHints;
 pub use digest::{RequestDigest, back_end_statement_name};
-pub use session_command::{LocalCommand, ProxySetting, SettingChange, quote_literal};
+pub use session_command::{
+    LocalCommand, ProxySetting, SettingChange, is_fixed_setting, quote_literal,
+};
 
 use control::classify_control;
 use query::classify_query;
--- a/crates/spurpier-core/src/statement/session_command.rs
+++ b/crates/spurpier-core/src/statement/session_command.rs
@@ -89,6 +89,12 @@
     "client_encoding",
 ];
 
+/// Whether clients must not change the setting of this name in lower case, because the proxy's
+/// classification and execution of statements depend on it.
+pub fn is_fixed_setting(name: &str) -> bool {
+    FIXED_SETTINGS.contains(&name)
+}
+
 /// Classifies a session command; `None` for any other statement.
 ///
 /// `words` holds the statement's tokens without white space and comments.
@@ -166,7 +172,7 @@
 }
 
 fn classify_setting(name: String, value: &[&Token], scope: Scope) -> StatementClass {
-    if FIXED_SETTINGS.contains(&name.as_str()) {
+    if is_fixed_setting(&name) {
         return StatementClass::Unsupported("SET of a setting that the proxy holds");
     }
     let is_default = value.len() == 1 && keyword(value[0]) == "DEFAULT";
@@ -277,7 +283,7 @@
     let Some(name) = setting_name(words) else {
         return StatementClass::Unsupported("this form of RESET");
     };
-    if FIXED_SETTINGS.contains(&name.as_str()) {
+    if is_fixed_setting(&name) {
         return StatementClass::Unsupported("RESET of a setting that the proxy holds");
     }
     match ProxySetting::from_name(&name) {
--- a/crates/spurpier/src/ingress/startup_options.rs
+++ b/crates/spurpier/src/ingress/startup_options.rs
@@ -4,7 +4,7 @@
 
 use spurpier_core::identity::DatabaseName;
 use spurpier_core::session::PositionToken;
-use spurpier_core::statement::{ProxySetting, quote_literal};
+use spurpier_core::statement::{ProxySetting, is_fixed_setting, quote_literal};
 
 use super::reply::SqlError;
 use super::session::LONGEST_NAME;
@@ -96,6 +96,11 @@
             // Reported alone: passing it on would cost a round trip on each change of connection.
             "application_name" => Ok(()),
             "client_encoding" => check_encoding(value),
+            "standard_conforming_strings" if value.eq_ignore_ascii_case("on") => Ok(()),
+            fixed if is_fixed_setting(fixed) => {
+                let message = format!("{fixed} is a setting that the proxy holds");
+                Err(SqlError::new("0A000", message))
+            }
             _ => {
                 let setting = sql_setting(lower, value)?;
                 self.settings.push(setting);
--- a/crates/spurpier/tests/ingress_startup.rs
+++ b/crates/spurpier/tests/ingress_startup.rs
@@ -82,6 +82,30 @@
     assert_eq!(node.counters.refusals(Reason::UnknownDatabase), 1);
 }
 
+#[tokio::test]
+async fn settings_that_clients_must_not_set_are_refused_at_the_start_too() {
+    let node = TestNode::start().await;
+    let cases: [(&str, &str); 5] = [
+        ("role", "admin"),
+        ("Session_Authorization", "admin"),
+        ("transaction_read_only", "off"),
+        ("standard_conforming_strings", "off"),
+        ("options", "-c role=admin"),
+    ];
+    for (name, value) in cases {
+        let parameters = [USER, DATABASE, (name, value)];
+        let (mut client, replies) =
+            RawClient::start_with(node.address, VERSION_3_0, &parameters).await;
+        assert_eq!(kinds(&replies), "E", "{parameters:?}");
+        assert_eq!(error(&replies).field(b'C').as_deref(), Some("0A000"));
+        assert!(client.is_closed().await);
+    }
+    let held = [USER, DATABASE, ("standard_conforming_strings", "on")];
+    let (mut client, _) = RawClient::start_with(node.address, VERSION_3_0, &held).await;
+    client.query("SELECT 1").await;
+    assert_eq!(node.runner.last().request.settings, []);
+}
+
 #[tokio::test]
 async fn a_user_without_a_database_means_the_one_of_that_name() {
     let node = TestNode::start().await;
