Quote values in the stories of spurpier explain

A value that a client chose, such as a request's id or a statement's shape, forged lines and values of a story: it may hold line feeds, spaces and '='.

Cause: the logs are JSON, which escapes them, but a story wrote the values as they are. A value that could be read as more than one word stands in quotes now, with escapes. Others look as before.

Test: a shape with a line feed and a statement's name with ' server='. Before: two lines, the second of them forged.

--- a/crates/spurpier/src/explain/mod.rs
+++ b/crates/spurpier/src/explain/mod.rs
@@ -8,6 +8,7 @@
 mod losses;
 mod picture;
 
+use std::borrow::Cow;
 use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::time::Duration;
@@ -87,6 +88,19 @@
     }
 }
 
+/// A value as one word of a line: in quotes, with escapes, if it could be read as more than that.
+/// Clients choose some of the values.
+fn quoted(value: &str) -> Cow<'_, str> {
+    let is_plain = |letter: char| {
+        !letter.is_whitespace() && !letter.is_control() && !matches!(letter, '"' | '=' | '\\')
+    };
+    if !value.is_empty() && value.chars().all(is_plain) {
+        Cow::Borrowed(value)
+    } else {
+        Cow::Owned(format!("{value:?}"))
+    }
+}
+
 /// A story as text: one line each, the time counted from the request's first line.
 pub fn render(story: &[LogLine], request: &str) -> String {
     let own = story.iter().find(|line| line.request() == Some(request));
@@ -106,7 +120,7 @@
         }
         let _ = write!(text, "{}: {}", line.event(), line.message);
         for (name, value) in line.details() {
-            let _ = write!(text, " {name}={value}");
+            let _ = write!(text, " {name}={}", quoted(value));
         }
         text.push('\n');
     }
--- a/crates/spurpier/tests/command_line.rs
+++ b/crates/spurpier/tests/command_line.rs
@@ -294,6 +294,22 @@
     assert_eq!(code(&unnamed), 2);
 }
 
+#[test]
+fn a_value_that_a_client_chose_forges_no_line_and_no_value_of_a_story() {
+    let prepared = r#""event":6051,"name":"statement_prepared","request":"q1","server":"i-1","shape":"a\n*   +1.000 s n1 request_not_run: refused","statement":"s1 server=i-2""#;
+    let log = file(
+        "explain-forged.log",
+        &log_line("n1", 13, "prepared", prepared),
+    );
+    let log = log.to_str().expect("text");
+    let output = spurpier(&["explain", "--log", log, "q1"]);
+    assert_eq!(code(&output), 0, "{}", text(&output.stderr));
+    let expected = "*   +0.000 s n1 statement_prepared: prepared server=i-1 \
+                    shape=\"a\\n*   +1.000 s n1 request_not_run: refused\" \
+                    statement=\"s1 server=i-2\"\n";
+    assert_eq!(text(&output.stdout), expected);
+}
+
 /// A line of a statement that was not run.
 fn not_run(node: &str, second: u32, values: &str) -> String {
     let values = format!("\"event\":6030,\"name\":\"request_not_run\",{values}");
