Count a statement as evicted once its server has confirmed it

A connection whose server refused to deallocate a statement held more prepared statements than its bound, one more with each refusal: the record dropped the statement before the answer came.

The record follows the answer now; a server that does not know the statement has none to remove.

--- a/crates/spurpier-pipeline/src/server/prepared.rs
+++ b/crates/spurpier-pipeline/src/server/prepared.rs
@@ -18,7 +18,7 @@
 /// The statements that are prepared on one server connection.
 ///
 /// Names are numbers in the order of preparation. They are never reused on a connection, so that a
-/// late or lost `Deallocate` cannot affect another statement.
+/// statement that the server still has under a former name cannot be taken for another.
 #[derive(Debug, Default)]
 pub struct PreparedStatements {
     entries: HashMap<ShapeDigest, Entry>,
@@ -48,19 +48,22 @@
         self.entries.insert(shape, Entry { name, last_use });
     }
 
-    /// Removes the statement that was not used for longest if the connection has
-    /// [`MAX_PREPARED_STATEMENTS`], and returns its name.
-    pub fn evict(&mut self) -> Option<StatementName> {
+    /// The least recently used statement if the connection has [`MAX_PREPARED_STATEMENTS`]: it has to
+    /// be deallocated before another one is prepared.
+    pub fn surplus(&self) -> Option<StatementName> {
         if self.entries.len() < MAX_PREPARED_STATEMENTS {
             return None;
         }
-        let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.last_use);
-        let (shape, entry) = oldest.map(|(shape, entry)| (*shape, *entry))?;
-        self.entries.remove(&shape);
-        Some(entry.name)
+        let oldest = self.entries.values().min_by_key(|entry| entry.last_use);
+        oldest.map(|entry| entry.name)
+    }
+
+    /// Removes a statement, which the server no longer has.
+    pub fn remove(&mut self, name: StatementName) {
+        self.entries.retain(|_, entry| entry.name != name);
     }
 
-    /// Removes all statements; the server has none of them any more.
+    /// Removes all statements.
     pub fn clear(&mut self) {
         self.entries.clear();
     }
--- a/crates/spurpier-pipeline/src/unit/attempt.rs
+++ b/crates/spurpier-pipeline/src/unit/attempt.rs
@@ -223,16 +223,21 @@
     })
 }
 
-/// Prepares a statement on the connection under a new name, in place of the one that was not used
-/// for longest if there are too many.
+/// Prepares a statement on the connection under a new name, in place of the least recently used
+/// one if there are too many.
 async fn prepare(
     connection: &mut ServerConnection,
     context: &Context,
     prepared: &PreparedExecution,
     digest: ShapeDigest,
 ) -> Result<StatementName, Failure> {
-    if let Some(name) = connection.prepared.evict() {
-        internal_exchange(connection, &ServerRequest::Deallocate { name }).await?;
+    if let Some(name) = connection.prepared.surplus() {
+        match internal_exchange(connection, &ServerRequest::Deallocate { name }).await {
+            Ok(()) | Err(Failure::Refused(ErrorClass::UnknownName)) => {
+                connection.prepared.remove(name);
+            }
+            Err(failure) => return Err(failure),
+        }
         context.metrics.count_evicted_statement();
     }
     let name = connection.prepared.new_name();
