Move the digest of shapes beside the record that uses it

No port uses the digest; it stood with the ports' types. Comments that said that sessions share a statement by its shape name the digest or what the shape is for.

--- a/crates/spurpier-pipeline/src/ports/dialect.rs
+++ b/crates/spurpier-pipeline/src/ports/dialect.rs
@@ -126,7 +126,7 @@
         name: StatementName,
         /// Whether executing it reads or writes.
         effect: Effect,
-        /// The statement's shape, by which sessions share it on a server connection.
+        /// The statement's shape, which each execution combines with its arguments.
         shape: &'a str,
     },
     /// Removes a prepared statement.
--- a/crates/spurpier-pipeline/src/ports/mod.rs
+++ b/crates/spurpier-pipeline/src/ports/mod.rs
@@ -22,8 +22,8 @@
 };
 pub use promotion::{FencingToken, Promotion, PromotionAnswer, PromotionService};
 pub use statement::{
-    Answer, Completion, Effect, ErrorClass, Request, ServerError, ShapeDigest, Statement,
-    StatementName, TransactionState,
+    Answer, Completion, Effect, ErrorClass, Request, ServerError, Statement, StatementName,
+    TransactionState,
 };
 pub use store::{
     Condition, MetadataStore, ReadRow, ReadRows, Row, Shard, StoreError, Table, TransactOutcome,
--- a/crates/spurpier-pipeline/src/ports/statement.rs
+++ b/crates/spurpier-pipeline/src/ports/statement.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use nanoserde::{DeBin, SerBin};
-use sha2::{Digest, Sha256};
 use spurpier_core::position::Position;
 
 use crate::tenant::AdmissionError;
@@ -18,38 +17,6 @@
     Write,
 }
 
-/// Length of a shape's digest in bytes.
-const SHAPE_DIGEST_BYTES: usize = 32;
-/// Number of bytes of a shape's digest that logs show.
-const SHOWN_DIGEST_BYTES: usize = 8;
-
-/// The digest of a prepared statement's shape and effect, by which sessions share the statement on a
-/// server connection.
-///
-/// Clients choose shapes, so the digest has to resist a deliberate search for collisions.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct ShapeDigest([u8; SHAPE_DIGEST_BYTES]);
-
-impl ShapeDigest {
-    /// Computes the digest.
-    pub fn of(effect: Effect, shape: &str) -> Self {
-        let tag = match effect {
-            Effect::Read => b'r',
-            Effect::Write => b'w',
-        };
-        let hasher = Sha256::new_with_prefix([tag]);
-        ShapeDigest(hasher.chain_update(shape).finalize().into())
-    }
-}
-
-/// The first bytes in hexadecimal, which tell shapes apart in logs.
-impl fmt::Display for ShapeDigest {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let mut shown = self.0[..SHOWN_DIGEST_BYTES].iter();
-        shown.try_for_each(|byte| write!(formatter, "{byte:02x}"))
-    }
-}
-
 /// The name of a prepared statement on one server connection: a number that the proxy assigns, as a
 /// name made of what clients choose could contain separators of the protocol.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -88,7 +55,7 @@
         name: String,
         /// Whether executing it reads or writes.
         effect: Effect,
-        /// The statement's shape, by which sessions share it on a server connection.
+        /// The statement's shape, which each execution combines with its arguments.
         shape: String,
     },
     /// Executes a prepared statement.
--- a/crates/spurpier-pipeline/src/server/mod.rs
+++ b/crates/spurpier-pipeline/src/server/mod.rs
@@ -17,6 +17,7 @@
 pub use self::connection::{ExchangeError, OpenError, ServerConnection, Values};
 pub use self::health::Health;
 pub use self::pool::{AcquireError, ConnectionNeed, Lease, OpenPools, Pool, Target};
+pub use self::prepared::ShapeDigest;
 
 use spurpier_events::log_event;
 
--- a/crates/spurpier-pipeline/src/server/prepared.rs
+++ b/crates/spurpier-pipeline/src/server/prepared.rs
@@ -1,12 +1,48 @@
 //! The statements that are prepared on a server connection, and their names there.
 
 use std::collections::HashMap;
+use std::fmt;
 
-use crate::ports::{ShapeDigest, StatementName};
+use sha2::{Digest, Sha256};
+
+use crate::ports::{Effect, StatementName};
 
 /// Maximum number of statements that stay prepared on a connection.
 const MAX_PREPARED_STATEMENTS: usize = 256;
 
+/// Length of a shape's digest in bytes.
+const SHAPE_DIGEST_BYTES: usize = 32;
+/// Number of bytes of a shape's digest that logs show.
+const SHOWN_DIGEST_BYTES: usize = 8;
+
+/// The digest of a prepared statement's shape and effect, by which sessions share the statement on a
+/// server connection.
+///
+/// It takes the place of the shape, which may be as long as a message. Clients choose shapes, so it
+/// has to resist a deliberate search for collisions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ShapeDigest([u8; SHAPE_DIGEST_BYTES]);
+
+impl ShapeDigest {
+    /// Computes the digest.
+    pub fn of(effect: Effect, shape: &str) -> Self {
+        let tag = match effect {
+            Effect::Read => b'r',
+            Effect::Write => b'w',
+        };
+        let hasher = Sha256::new_with_prefix([tag]);
+        ShapeDigest(hasher.chain_update(shape).finalize().into())
+    }
+}
+
+/// The first bytes in hexadecimal, which tell shapes apart in logs.
+impl fmt::Display for ShapeDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut shown = self.0[..SHOWN_DIGEST_BYTES].iter();
+        shown.try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
 /// A statement that is prepared on the connection.
 #[derive(Debug, Clone, Copy)]
 struct Entry {
--- a/crates/spurpier-pipeline/src/unit/attempt.rs
+++ b/crates/spurpier-pipeline/src/unit/attempt.rs
@@ -14,8 +14,8 @@
 use crate::context::Context;
 use crate::events;
 use crate::locality::NoLeave;
-use crate::ports::{Answer, EncodeError, ErrorClass, ServerRequest, ShapeDigest, StatementName};
-use crate::server::{ExchangeError, Lease, Server, ServerConnection, Values};
+use crate::ports::{Answer, EncodeError, ErrorClass, ServerRequest, StatementName};
+use crate::server::{ExchangeError, Lease, Server, ServerConnection, ShapeDigest, Values};
 
 /// How long an exchange may continue after its unit timed out before its connection is closed.
 const DETACHED_TIMEOUT: Duration = Duration::from_secs(3);
--- a/crates/spurpier-pipeline/src/unit/statement.rs
+++ b/crates/spurpier-pipeline/src/unit/statement.rs
@@ -2,7 +2,8 @@
 
 use spurpier_core::position::Position;
 
-use crate::ports::{Effect, ServerRequest, ShapeDigest, StatementName};
+use crate::ports::{Effect, ServerRequest, StatementName};
+use crate::server::ShapeDigest;
 
 /// The execution of a prepared statement.
 #[derive(Debug, Clone, PartialEq, Eq)]
