--- a/review/stand_in_2/group.py
+++ b/review/stand_in_2/group.py
@@ -21,6 +21,8 @@
         self.synchronous = synchronous
         self.servers = {}
         self.runs = []
+        # The servers that were promoted, in order.
+        self.promotions = []
         for instance, zone in places:
             self.servers[instance] = Server(self, instance, zone)
         self.lead = places[0][0]
@@ -36,6 +38,7 @@
             return
         self.term += 1
         self.lead = instance
+        self.promotions.append(instance)
         primary = self.servers[instance]
         primary.paused = False
         primary.applied = len(primary.received)
@@ -85,6 +88,8 @@
         self.state = "ready"
         self.received = []
         self.applied = 0
+        # The term whose primary it has last received from.
+        self.term = group.term
         self.lag_s = None
         self.down = False
         self.dark = False
@@ -92,6 +97,8 @@
         self.paused = False
         self.isolated = False
         self.unlisted = False
+        # Told only on deployments where an id may be used again.
+        self.born = None
         self.sequence = 0
         self.listener = None
         self.address = None
@@ -123,6 +130,14 @@
         if self.group.lead in self.group.servers:
             self.group.send(self.group.servers[self.group.lead], self)
 
+    async def start_anew(self):
+        """Starts again under its id at its address, and holds nothing of before."""
+        self.received = []
+        self.applied = 0
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        await self.come_back()
+
     async def beat(self):
         while not self.down:
             await asyncio.sleep(HEARTBEAT_S)
@@ -147,6 +162,8 @@
             "database-role": "primary" if self.group.lead == self.instance else "replica",
             "sequence": self.sequence,
         }
+        if self.born is not None:
+            entry["born"] = self.born
         self.world.store.put("servers", self.instance, entry)
 
     def lag(self):
@@ -165,12 +182,16 @@
             return
         log = list(primary.received)
         if self.received != log[: len(self.received)]:
+            if self.term == self.group.term:
+                # It holds more than its primary shows, and no promotion has told it to drop that.
+                return
             # What another primary had not received is rolled back.
             same = 0
             while same < min(len(self.received), len(log)) and self.received[same] == log[same]:
                 same += 1
             self.received = self.received[:same]
             self.applied = min(self.applied, same)
+        self.term = self.group.term
         if len(self.received) < len(log):
             self.received = log
         await asyncio.sleep(self.lag())
