Keep a session's last commit in each group

Cause: a session kept one commit with the name of its group. A commit in another group replaced it, so that the read floor in the first group was only the proof that max-staleness-ms allows.

What: SessionCommits keeps the last commit in each group for as long as the session is open. It holds one entry for each group that the session commits in, which the routes of its database bound.

--- a/crates/spurpier-core/src/leader/mod.rs
+++ b/crates/spurpier-core/src/leader/mod.rs
@@ -15,6 +15,7 @@
 mod proofs;
 mod read_routing;
 mod replica_set;
+mod session_commits;
 mod view;
 
 pub use candidate::{LeaderCandidate, choose_leader_candidate};
@@ -28,10 +29,11 @@
     SuccessorDetails, holds_leader_lease,
 };
 pub use promotion_lease::{HolderStatus, PromotionLeaseRow, PromotionStep, next_promotion_step};
-pub use proofs::{LeadershipProof, LeadershipProofs, SessionCommit, read_floor};
+pub use proofs::{LeadershipProof, LeadershipProofs, read_floor};
 pub use read_routing::{Distance, ObservedPosition, ServerLoad, choose_read_server};
 pub use replica_set::{
     MissingReplicas, REPLICA_END_TIMEOUT, REPLICA_RETURN_TIMEOUT, Reachability, ReplicaLocation,
     ReplicaSet, counted_servers, may_remove_ended,
 };
+pub use session_commits::{SessionCommit, SessionCommits};
 pub use view::{LeaderView, ProofError};
--- a/crates/spurpier-core/src/leader/proofs.rs
+++ b/crates/spurpier-core/src/leader/proofs.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::session_commits::SessionCommit;
 use crate::position::Position;
 use crate::time::Timestamp;
 
@@ -76,15 +77,6 @@
     }
 }
 
-/// The last commit of a session.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SessionCommit {
-    /// Its position in the group's log.
-    pub position: Position,
-    /// When its acknowledgement arrived at this node.
-    pub acknowledged_at: Timestamp,
-}
-
 /// The position that a server's log must have reached to run a read. The read may miss commits
 /// acknowledged at or after `since`, but not the session's own last commit `own`.
 ///
--- a/crates/spurpier-core/tests/lead.rs
+++ b/crates/spurpier-core/tests/lead.rs
@@ -7,9 +7,9 @@
 use spurpier_core::leader::{
     Distance, FailoverDecision, FormerPrimary, HolderStatus, LeaderCandidate, LeadershipProof,
     LeadershipProofs, MissingPrimary, ObservedPosition, PARTITION_TIMEOUT, PrimaryObservation,
-    PromotionLeaseRow, PromotionStep, RankedNode, ServerLoad, SessionCommit, SuccessorCandidate,
-    choose_leader_candidate, choose_read_server, choose_successor, decide_failover, homes_per_zone,
-    next_promotion_step, rank_homes, read_floor,
+    PromotionLeaseRow, PromotionStep, RankedNode, ServerLoad, SessionCommit, SessionCommits,
+    SuccessorCandidate, choose_leader_candidate, choose_read_server, choose_successor,
+    decide_failover, homes_per_zone, next_promotion_step, rank_homes, read_floor,
 };
 use spurpier_core::membership::NodeKey;
 use spurpier_core::position::Position;
@@ -98,6 +98,21 @@
     );
 }
 
+#[test]
+fn a_session_keeps_its_last_commit_in_each_group() {
+    let commit = |offset, acknowledged_ms| SessionCommit {
+        position: Position::new(1, offset),
+        acknowledged_at: at(acknowledged_ms),
+    };
+    let mut commits = SessionCommits::default();
+    commits.record("one", commit(7, 100));
+    commits.record("two", commit(2, 200));
+    commits.record("one", commit(8, 300));
+    assert_eq!(commits.last_in("one"), Some(commit(8, 300)));
+    assert_eq!(commits.last_in("two"), Some(commit(2, 200)));
+    assert_eq!(commits.last_in("three"), None);
+}
+
 #[test]
 fn a_proof_of_a_newer_term_covers_commits_of_older_terms() {
     let proofs = recorded(&[proof(100, 2, 5)]);
--- a/crates/spurpier-pipeline/src/session/state.rs
+++ b/crates/spurpier-pipeline/src/session/state.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use spurpier_core::leader::SessionCommit;
+use spurpier_core::leader::SessionCommits;
 use spurpier_protocol::frame::MAX_FRAME_BYTES;
 use tokio::time::Instant;
 
@@ -42,8 +42,7 @@
     pub(super) client: ClientCredentials,
     pub(super) values: Values,
     pub(super) prepared: HashMap<String, Prepared>,
-    /// The session's last commit and the group whose log contains it.
-    pub(super) own_commit: Option<(String, SessionCommit)>,
+    pub(super) own_commits: SessionCommits,
     pub(super) transaction: Option<RoutedTransaction>,
     /// When the last statement finished; the idle timeout of an open transaction starts here.
     pub(super) idle_since: Instant,
@@ -57,7 +56,7 @@
             client,
             values: Values::new(),
             prepared: HashMap::new(),
-            own_commit: None,
+            own_commits: SessionCommits::default(),
             transaction: None,
             idle_since: Instant::now(),
         }
--- a/crates/spurpier-pipeline/src/session/statements.rs
+++ b/crates/spurpier-pipeline/src/session/statements.rs
@@ -201,15 +201,13 @@
             .ok_or(AdmissionError::UnknownDatabase)?;
         let admitted = in_force.admit(&self.client.database, self.client.key)?;
         let route = admitted.route;
-        let own_commit = self.own_commit.as_ref();
-        let own_commit = own_commit.filter(|(group, _)| *group == route.group);
         Ok(Unit {
             context: Arc::clone(&self.context),
             group: self.context.group(&route.group),
             caller: admitted.caller,
             allowed_regions: admitted.allowed_regions,
             values: self.values.clone(),
-            own_commit: own_commit.map(|(_, commit)| *commit),
+            own_commit: self.own_commits.last_in(&route.group),
             deadlines: Deadlines::for_route(&route, &self.context.clock),
             route,
             configuration: in_force.configuration.version,
@@ -229,7 +227,7 @@
             position,
             acknowledged_at: self.context.clock.now(),
         };
-        self.own_commit = Some((group.to_owned(), commit));
+        self.own_commits.record(group, commit);
     }
 }
 
