End open transactions whose key is taken away or passed on

Cause: the key was resolved when a unit began, and by a home when it was handed one. Statements in an open transaction and its COMMIT went straight to the connection that holds it, at the client's node and at homes.

Evidence: single statements and new sessions under the key are refused at the same time, and the regression tests wait until the version is in force at the only node, so that neither late news nor a home is the cause.

What: a statement in a transaction, and COMMIT, is held against the configuration in force if that is newer than the transaction's. A key without a holder gets UNKNOWNKEY, one of another tenant ABORTED with a time to retry; the transaction is rolled back. Nodes and homes run both through RoutedTransaction, so that the first to know refuses. Changes of the route take hold from the next transaction, as before. The log tells key_revoked or key_reassigned.

--- a/crates/spurpier-pipeline/src/configuration/mod.rs
+++ b/crates/spurpier-pipeline/src/configuration/mod.rs
@@ -99,23 +99,48 @@
         let route = self
             .route(database)
             .ok_or(AdmissionError::UnknownDatabase)?;
-        let Some(holders) = self.holders.as_ref().filter(|_| !route.is_public) else {
-            return Ok(AdmittedClient {
-                allowed_regions: route.allowed_regions.clone(),
-                caller: Caller::unnamed(key),
-                route,
-            });
+        let holder = self.key_holder(&route, key)?;
+        let allowed_regions = match holder {
+            Some(holder) => route.allowed_regions.intersection(&holder.allowed_regions),
+            None => route.allowed_regions.clone(),
         };
-        let holder = key.and_then(|key| holders.get(&key));
-        let holder = holder.ok_or(AdmissionError::UnknownKey)?;
-        let tenant = Some(Arc::clone(&holder.name));
+        let tenant = holder.map(|holder| Arc::clone(&holder.name));
         Ok(AdmittedClient {
-            allowed_regions: route.allowed_regions.intersection(&holder.allowed_regions),
-            caller: Caller { tenant, key },
             route,
+            caller: Caller { tenant, key },
+            allowed_regions,
         })
     }
 
+    /// Returns the name of the tenant on whose behalf a client uses a route, which need not be part
+    /// of this configuration; `None` if the client is not identified as a tenant there.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AdmissionError::UnknownKey`] if a tenant's key is needed and no tenant holds the
+    /// client's key.
+    pub fn tenant_of(
+        &self,
+        route: &Route,
+        key: Option<KeyDigest>,
+    ) -> Result<Option<Arc<str>>, AdmissionError> {
+        let holder = self.key_holder(route, key)?;
+        Ok(holder.map(|holder| Arc::clone(&holder.name)))
+    }
+
+    fn key_holder(
+        &self,
+        route: &Route,
+        key: Option<KeyDigest>,
+    ) -> Result<Option<&TenantAccess>, AdmissionError> {
+        let Some(holders) = self.holders.as_ref().filter(|_| !route.is_public) else {
+            return Ok(None);
+        };
+        let holder = key.and_then(|key| holders.get(&key));
+        let holder = holder.ok_or(AdmissionError::UnknownKey)?;
+        Ok(Some(holder))
+    }
+
     /// Returns the quota of a tenant; none if it is not limited.
     pub fn quota(&self, tenant: &str) -> Option<TenantQuota> {
         let quota = self.quotas.get(tenant).copied()?;
--- a/crates/spurpier-pipeline/src/forward/transaction.rs
+++ b/crates/spurpier-pipeline/src/forward/transaction.rs
@@ -105,8 +105,13 @@
         unit.deadlines = deadlines(unit);
     }
 
-    /// Runs a statement in the transaction.
+    /// Runs a statement in the transaction. If the client's key has been revoked since the
+    /// transaction was opened, rolls it back instead.
     pub async fn run(&mut self, work: &ClientStatement, effect: Effect) -> Answer {
+        if let Some(refusal) = self.unit().refuse_revoked(&work.id) {
+            self.expire().await;
+            return refusal;
+        }
         match self {
             RoutedTransaction::Local(transaction) => {
                 transaction.run(work, effect == Effect::Write).await
@@ -115,8 +120,14 @@
         }
     }
 
-    /// Commits the transaction.
-    pub async fn commit(self, work: &ClientStatement) -> UnitResult {
+    /// Commits the transaction. If the client's key has been revoked since it was opened, rolls it
+    /// back instead.
+    pub async fn commit(mut self, work: &ClientStatement) -> UnitResult {
+        if let Some(mut refusal) = self.unit().refuse_revoked(&work.id) {
+            self.expire().await;
+            refusal.state = TransactionState::Idle;
+            return UnitResult::answer(refusal);
+        }
         match self {
             RoutedTransaction::Local(transaction) => transaction.commit(work).await,
             RoutedTransaction::Remote(transaction) => transaction.commit(work).await,
--- a/crates/spurpier-pipeline/src/tenant/mod.rs
+++ b/crates/spurpier-pipeline/src/tenant/mod.rs
@@ -17,11 +17,6 @@
 }
 
 impl Caller {
-    /// Creates a caller that belongs to no tenant.
-    pub fn unnamed(key: Option<KeyDigest>) -> Self {
-        Caller { tenant: None, key }
-    }
-
     /// Returns the caller name to send to servers.
     pub fn name(&self) -> &str {
         self.tenant.as_deref().unwrap_or(UNNAMED_CALLER)
--- a/crates/spurpier-pipeline/src/unit/mod.rs
+++ b/crates/spurpier-pipeline/src/unit/mod.rs
@@ -300,6 +300,29 @@
         }
     }
 
+    /// Returns the refusal of a statement in an open transaction if a newer configuration has taken
+    /// the client's key away or given it to another tenant, or `None` if the statement may run.
+    ///
+    /// The transaction must then be rolled back. Changes of its route do not refuse it: they take
+    /// effect with the client's next transaction.
+    pub fn refuse_revoked(&self, id: &str) -> Option<Answer> {
+        let in_force = self.context.in_force()?;
+        if in_force.configuration.version <= self.configuration {
+            return None;
+        }
+        match in_force.tenant_of(&self.route, self.caller.key) {
+            Ok(tenant) if tenant == self.caller.tenant => None,
+            Ok(_) => Some(self.abort(id, "", "key_reassigned")),
+            Err(denied) => {
+                let aborted = self.abort(id, "", "key_revoked");
+                Some(Answer {
+                    state: aborted.state,
+                    ..Answer::denied(denied)
+                })
+            }
+        }
+    }
+
     /// Logs and counts that a statement has not run, and returns its answer.
     pub fn refuse(&self, id: &str, reason: NotRun) -> Answer {
         self.context.metrics.count_refusal(reason.text());
